Smaller room: 0.4 of the aim in flight, start room split over the gateways

Cause: B was worth a whole aim of queueing, so half of what was let in came late and the fleet stayed jammed; with many gateways each took a few attempts per server at the start.

--- a/rushweir/rules.py
+++ b/rushweir/rules.py
@@ -24,7 +24,8 @@
 TOLD = Struct(">IHHBB")  # told of one customer: hash, units spent, demand, attempts out, level of the store
 TOLD_MOST = 20  # customers in a message: what 256 bytes hold
 # Room
-START_ATTEMPTS = 4.0  # per ready server and gateway: what a small server takes without queueing for long
+START_ATTEMPTS = 8.0  # per ready server, of all gateways: what a small one takes without queueing long
+AIM_PART = 0.4  # of the aim to be in flight on average: the slow half and the unevenness need the rest
 FINISH_MS = 4000.0  # window of units finished: longer than a request, shorter than a trouble
 POPULAR_MS = 15000.0  # window of popularity
 PRIOR = 2.0  # units added to each class's popularity: noise from few requests is smoothed
@@ -245,6 +246,7 @@
 
     def __init__(self, s: i.Settings, now: float) -> None:
         self.classes, self.largest = {c.name: c for c in s.classes}, s.sharing.largest_request
+        self.gateways = s.gateways
         self.length = {c.name: c.aim_ms / 4 for c in s.classes}
         self.asked = {c.name: Rate(POPULAR_MS, now) for c in s.classes}
         self.finished = Rate(FINISH_MS, now)
@@ -275,8 +277,8 @@
         ranges, whole = 1 + max(self.range_of(n) for n in f2), sum(f2.values())
         aim = sum(f2[n] * self.classes[n].aim_ms for n in f2) / whole / 1000
         # Never below what keeps the largest request small against a part, nor below an attempt a server.
-        low = max(ready, ranges * self.largest) if self.pressed(now) else START_ATTEMPTS * max(1, ready)
-        room = max(low, self.finished.per_s(now) * aim)
+        low = START_ATTEMPTS * max(1, ready) / self.gateways * (1 / 4 if self.pressed(now) else 1)
+        room = max(low, ranges * self.largest, self.finished.per_s(now) * aim * AIM_PART)
         self.sizes = [0.0] * ranges
         for n, f in f2.items():
             self.sizes[self.range_of(n)] += f / whole * room
@@ -368,12 +370,12 @@
         best, cost = None, math.inf
         for b in ready:
             f, w = self.warmth(b, now), self.weight(b)
-            # Slow start: a cold server gets its warmth's part of what warm ones of its size are sent here.
+            # Slow start: a cold server gets its warmth's part of what warm ones of its size get here.
             if not allowed(b.entry) or (f < 1 and len(b.sent) + 1 > max(1.0, f * w * rate)):
                 continue
             here = b.slow * (len(b.out) + 1) / (w * f) * (1 if b.entry.zone == self.zone else self.cross)
             here *= 1 + 0.05 * self.rng.random()  # gateways that see the same must not herd
-            trial = b.fail >= FAIL_OUT / 2 and b.eject_ms > EJECT_MS and b.out  # ejected before: one at a time
+            trial = b.fail >= FAIL_OUT / 2 and b.eject_ms > EJECT_MS and b.out  # was out: one at a time
             here += 1e6 * bool(b in out or trial) + 1e3 * (b.entry.address in avoid)
             if here < cost:
                 best, cost = b, here
