--- a/tests/test_found.py
+++ b/tests/test_found.py
@@ -49,14 +49,14 @@
     """Eleven gateways kept calling a counter that could answer one call in four (i26bb2f)."""
     calls = {}
     for result in (i.Result.OK, i.Result.TIMEOUT):
-        gateway, calls[result] = make(sharing=COUNTER), 0
-        gateway.policy.start()
-        for k in range(400):
-            gateway.now += 5.0
-            gateway.n += 1
-            request = i.Request(f"x{k}", "look", "rated", f"c{k % 60}", gateway.now + 3000.0, 1.0, 3, 0)
-            for action in gateway.do(request):
-                if isinstance(action, i.Count):
+        gateway, calls[result] = make(servers=60, sharing=COUNTER), 0
+        quota = gateway.policy.quota
+        for k in range(50):
+            gateway.ask("rated", customer=f"c{k}")
+        for _ in range(1000):
+            gateway.now += 1.0
+            for c in quota.customers.values():
+                for action in quota.count(c, gateway.now, True):
                     calls[result] += 1
-                    gateway.do(i.Counted(action.name, result, action.amount))
-    assert 0 < calls[i.Result.TIMEOUT] * 2 < calls[i.Result.OK]
+                    quota.counted(i.Counted(action.name, result, action.amount), gateway.now)
+    assert 0 < calls[i.Result.TIMEOUT] * 5 < calls[i.Result.OK]
