The room's start and floor count units, not attempts

Cause: a few attempts per server were taken as a few units, so where requests count up to 6 a pressed gateway's floor was one or two requests.

--- a/rushweir/rules.py
+++ b/rushweir/rules.py
@@ -255,13 +255,17 @@
         self.gateways = s.gateways
         self.length = {c.name: c.aim_ms / 4 for c in s.classes}
         self.asked = {c.name: Rate(POPULAR_MS, now) for c in s.classes}
-        self.finished = Rate(FINISH_MS, now)
+        self.finished, self.mean_units = Rate(FINISH_MS, now), (1 + s.sharing.largest_request) / 2
         self.bad, self.all = Rate(PRESSED_MS, now), Rate(PRESSED_MS, now)
         self.used, self.sizes = [0.0], [0.0]
 
     def pressed(self, now: float) -> bool:
         return self.bad.total(now) > max(PRESSED_LEAST, PRESSED_PART * self.all.total(now))
 
+    def ask(self, name: str, units: float, now: float) -> None:
+        self.asked[name].add(units, now)
+        self.mean_units += LENGTH_ALPHA * (units - self.mean_units)
+
     def observe(self, name: str, e: i.Outcome, units: float, now: float) -> None:
         """Learn lengths, units finished and pressure from an outcome."""
         ok, late = e.result is i.Result.OK, e.spent_ms > self.classes[name].aim_ms
@@ -283,7 +287,8 @@
         ranges, whole = 1 + max(self.range_of(n) for n in f2), sum(f2.values())
         aim = sum(f2[n] * self.classes[n].aim_ms for n in f2) / whole / 1000
         # Never below what keeps the largest request small against a part, nor below an attempt a server.
-        low = START_ATTEMPTS * max(1, ready) / self.gateways * (1 / 4 if self.pressed(now) else 1)
+        low = START_ATTEMPTS * max(1, ready) * self.mean_units / self.gateways
+        low /= 4 if self.pressed(now) else 1
         room = max(low, ranges * self.largest, self.finished.per_s(now) * aim * AIM_PART)
         self.sizes = [0.0] * ranges
         for n, f in f2.items():
@@ -492,7 +497,7 @@
         now, cls, c = self.now, self.room.classes.get(r.cls), self.quota.customer(r, self.now)
         if cls is None or c is None:
             return [self.refuse(r)]
-        self.room.asked[r.cls].add(r.units, now)
+        self.room.ask(r.cls, r.units, now)
         inside, wait = self.quota.ask(c, r.units, now)
         news = self.quota.count(c, now, False) if self.s.sharing.counter else []
         capped = c.plan.ceiling_rate and c.ceiling < r.units
--- a/tests/test_found.py
+++ b/tests/test_found.py
@@ -60,3 +60,9 @@
                     calls[result] += 1
                     quota.counted(i.Counted(action.name, result, action.amount), gateway.now)
     assert 0 < calls[i.Result.TIMEOUT] * 5 < calls[i.Result.OK]
+
+
+def test_start_room_counts_units_not_attempts(make):
+    """Where a request counts several units, a pressed gateway's least room held one or two (ieaa566)."""
+    gateway = make(sharing=i.Sharing(largest_request=6.0))
+    assert sum(gateway.policy.room.sizes) == 3.5 * sum(make().policy.room.sizes)
