--- a/rushweir/rules.py
+++ b/rushweir/rules.py
@@ -475,13 +475,7 @@
             return [i.Watch()]
         if ref:
             return self.check(*self.checks.pop(ref))
-        # Attempts stuck on silent servers use nothing: their room goes to the servers that answer.
-        stuck = {a for a, b in self.fleet.servers.items() if b.silent(max(self.room.length.values()), self.now)}
-        for t in self.tickets.values():
-            if t.grant and all(t.sends[n][0].address in stuck for n in t.out):
-                self.room.give_back(t.grant)
-                t.grant = []
-        self.room.partition(len(self.fleet.ready()) - len(stuck), self.now)
+        self.room.partition(len(self.fleet.ready()), self.now)
         if self.now - self.swept > IDLE_MS / 10:
             self.quota.age(self.now)
             self.swept = self.now
