--- a/rushweir/rules.py
+++ b/rushweir/rules.py
@@ -26,9 +26,11 @@
 PRIOR = 2.0  # units added to each class's popularity: noise from few requests is smoothed
 PRESSED_MS = 2000.0  # how long a sign of pressure counts
 PRESSED_PART = 0.1  # of outcomes and 5 good ones: less is single servers or chance
+KEEP_PART = 0.5  # of a pressed room, kept from worthless work for work of the mean worth per room and time
 SOFT_PART = 0.35  # of the room: beyond-quota work must not be what makes inside work wait
 # Fleet
 LENGTH_ALPHA, SLOW_ALPHA = 0.05, 0.1  # weight of one answer in its class's length, its server's relative time
+VALUE_ALPHA = 0.02  # weight of one request in the mean worth per room and time
 FAIL_ALPHA = 0.2  # three failures in a row stand out, one does not
 FAIL_OUT = 0.4  # failing part at which a server is ejected, if it also stands out from the others
 EJECT_MS = 2000.0  # first ejection; doubles up to 8 times that
@@ -187,7 +189,7 @@
         self.asked = {c.name: Rate(POPULAR_MS, now) for c in s.classes}
         self.finished, self.mean_units = Rate(FINISH_MS, now), (1 + s.sharing.largest_request) / 2
         self.bad, self.all = Rate(PRESSED_MS, now), Rate(PRESSED_MS, now)
-        self.used, self.sizes = [0.0], [0.0]
+        self.used, self.sizes, self.value = [0.0], [0.0], 0.0
 
     def pressed(self, now: float) -> bool:
         return self.bad.total(now) > PRESSED_PART * (5 + self.all.total(now))
@@ -225,13 +227,17 @@
             self.sizes[self.range_of(n)] += f / whole * room
         self.used += [0.0] * (ranges - len(self.used))
 
-    def draw(self, name: str, units: float, now: float) -> list[tuple[int, float]] | None:
+    def draw(self, name: str, units: float, price: float, now: float) -> list[tuple[int, float]] | None:
         """Room from the request's own range, then the shorter ones; not pressed: from any."""
         top, grant, left = min(self.range_of(name), len(self.sizes) - 1), [], units
         for k in [*range(top, -1, -1), *([] if self.pressed(now) else range(top + 1, len(self.sizes)))]:
             grant.append((k, min(left, max(0.0, self.sizes[k] - self.used[k]))))
             left -= grant[-1][1]
-        if sum(self.used) > 1e-6 and (left > 1e-9 or sum(self.sizes) - sum(self.used) < units):
+        # Length stands for profit in the paper; here worth does too, so cheap work leaves room for dear work.
+        value = self.classes[name].worth * price / self.length[name]
+        self.value += VALUE_ALPHA * (value - self.value)
+        keep = KEEP_PART * max(0.0, 1 - value / self.value)
+        if sum(self.used) > 1e-6 and (left > 1e-9 or sum(self.sizes) * (1 - keep) - sum(self.used) < units):
             return None
         grant.append((top, left))  # an idle gateway takes a request larger than all its room
         for k, part in grant:
@@ -387,7 +393,7 @@
         if (c.plan.ceiling_rate and c.ceiling < r.units) or not (inside or soft):
             return [self.refuse(r, wait), *news]
         server = self.fleet.choose(now, self.room.length[r.cls], lambda e: True, set())
-        if server is None or (grant := self.room.draw(r.cls, r.units, now)) is None:
+        if server is None or (grant := self.room.draw(r.cls, r.units, c.plan.price, now)) is None:
             return [self.refuse(r), *news]
         c.ceiling -= r.units
         if inside:
