Keep a part of the room for work of the mean worth, pressed or not; try calling the counter for low stores only

It acts once the room is half full; it could starve a plan that is cheap and long, never below half the room.

--- a/rushweir/rules.py
+++ b/rushweir/rules.py
@@ -12,7 +12,7 @@
 TELL_MS = 100.0  # news of spending older than a request's time is worth little; batched to save messages
 SILENT_MS = 1500.0  # a peer or counter unheard for this long is presumed gone, not just a lost message or two
 SYNC_MS = 250.0  # least time between two counter calls for one customer: bounds price and calls a second
-SYNC_PART = 1 / 8  # of the burst: spending a counter should hear of at once
+SYNC_BELOW = 0.75  # of the burst: a store less full is shared through the counter at once, a fuller one later
 CALL_MS = 2.0, 100.0  # least and most time between two calls of a gateway, by how the counter copes
 EPOCH_MS = 20000.0  # a counter name's life: bounds the drift of additions that may or may not have counted
 ASKED = 10000  # a counter value is units spent x this + units asked for: seven digits hold both
@@ -26,11 +26,10 @@
 PRIOR = 2.0  # units added to each class's popularity: noise from few requests is smoothed
 PRESSED_MS = 2000.0  # how long a sign of pressure counts
 PRESSED_PART = 0.1  # of outcomes and 5 good ones: less is single servers or chance
-KEEP_PART = 0.5  # of a pressed room, kept from worthless work for work of the mean worth per room and time
+KEEP_PART = 0.5  # of the room, kept from worthless work for work of the mean worth per room and time
 SOFT_PART = 0.35  # of the room: beyond-quota work must not be what makes inside work wait
 # Fleet
-LENGTH_ALPHA, SLOW_ALPHA = 0.05, 0.1  # weight of one answer in its class's length, its server's relative time
-VALUE_ALPHA = 0.02  # weight of one request in the mean worth per room and time
+LENGTH_ALPHA, SLOW_ALPHA, VALUE_ALPHA = 0.05, 0.1, 0.02  # weight of one sample in each running mean
 FAIL_ALPHA = 0.2  # three failures in a row stand out, one does not
 FAIL_OUT = 0.4  # failing part at which a server is ejected, if it also stands out from the others
 EJECT_MS = 2000.0  # first ejection; doubles up to 8 times that
@@ -130,9 +129,8 @@
 
     def count(self, c: Customer, now: float, due: bool) -> list[i.Action]:
         """Tell the counter of several requests at once; learn what the others spent and were asked for."""
-        due = due or c.new[0] >= c.plan.burst * SYNC_PART or c.level < c.plan.burst / 2
         early = c.call or now - c.synced < SYNC_MS or now < self.next_call
-        if early or not (c.peers and c.plan.rate and due):
+        if early or not (c.peers and c.plan.rate and (due or c.level < SYNC_BELOW * c.plan.burst)):
             return []
         self.next_call = now + self.pace
         if c.epoch != now // EPOCH_MS:
--- a/tests/test_found.py
+++ b/tests/test_found.py
@@ -66,3 +66,14 @@
     """Where a request counts several units, a pressed gateway's least room held one or two (ieaa566)."""
     gateway = make(sharing=i.Sharing(largest_request=6.0))
     assert sum(gateway.policy.room.sizes) == 3.5 * sum(make().policy.room.sizes)
+
+
+def test_cheap_work_leaves_room_for_dear_work(make):
+    """In overload requests of every worth were refused alike (dakar-fann overload, ieaa566)."""
+    gateway = make(servers=12)
+    admitted = {"look": 0, "book": 0}
+    for k in range(64):
+        cls = "book" if k % 2 else "look"
+        admitted[cls] += isinstance(gateway.ask(cls=cls)[1], i.Send)
+    assert admitted["look"] > 0
+    assert admitted["book"] > 1.3 * admitted["look"]
