--- a/rushweir/rules.py
+++ b/rushweir/rules.py
@@ -3,6 +3,7 @@
 
 import math
 import random
+from operator import attrgetter
 
 from rushweir import interface as i
 from rushweir.state import Backend, Customer, Heard, Rate, Ticket, read_news, write_news
@@ -12,8 +13,9 @@
 TELL_MS = 100.0  # news of spending older than a request's time is worth little; batched to save messages
 SILENT_MS = 1500.0  # a peer or counter unheard for this long is presumed gone, not just a lost message or two
 SYNC_MS = 250.0  # least time between two counter calls for one customer: bounds price and calls a second
-SYNC_BELOW = 0.75  # of the burst: a store less full is shared through the counter at once, a fuller one later
-CALL_MS = 2.0, 100.0  # least and most time between two calls of a gateway, by how the counter copes
+SYNC_PART, SYNC_BELOW = 1 / 8, 0.5  # of the burst: so much spent, or so low a store, calls at once
+CALL_MS = 2.0, 100.0  # least and most time between two calls of a gateway, by how the counter copes:
+PACE = 0.85, 1.5  # ... each good answer makes it shorter, each late or full one longer
 EPOCH_MS = 20000.0  # a counter name's life: bounds the drift of additions that may or may not have counted
 ASKED = 10000  # a counter value is units spent x this + units asked for: seven digits hold both
 IDLE_MS = 30000.0  # customers idle this long are forgotten
@@ -47,10 +49,9 @@
 
     def __init__(self, settings: i.Settings, rng: random.Random, now: float) -> None:
         self.s, self.how, self.began, self.run = settings, settings.sharing, now, rng.randbytes(2)
-        self.plans = {p.name: p for p in settings.plans}
-        self.customers, self.last_heard = dict[str, Customer](), dict[int, float]()
+        self.plans, self.customers = {p.name: p for p in settings.plans}, dict[str, Customer]()
         self.by_hash, self.calls, self.dirty = (dict[int, Customer]() for _ in range(3))
-        self.told: dict[int, dict[int, Heard]] = {}  # by customer's hash, then peer
+        self.told, self.last_heard = dict[int, dict[int, Heard]](), dict[int, float]()
         self.counter_at, self.pace, self.next_call, self.swept = now, CALL_MS[0], now, now
 
     def customer(self, r: i.Request, now: float) -> Customer | None:
@@ -119,8 +120,8 @@
             return
         self.last_heard[source] = now
         for key, spent, demand, out, level in news[1]:
-            h, c = self.told.setdefault(key, {}).setdefault(source, Heard()), self.by_hash.get(key)
-            if c is not None:
+            h = self.told.setdefault(key, {}).setdefault(source, Heard())
+            if (c := self.by_hash.get(key)) is not None:
                 # A new run is a restarted peer, which counts from 0; a total below the last one came late.
                 step = (spent - (h.spent if h.run == news[0] else 0 if h.run else spent)) % 65536
                 c.refill(now)
@@ -129,8 +130,9 @@
 
     def count(self, c: Customer, now: float, due: bool) -> list[i.Action]:
         """Tell the counter of several requests at once; learn what the others spent and were asked for."""
+        due = due or c.new[0] >= c.plan.burst * SYNC_PART or c.level < c.plan.burst * SYNC_BELOW
         early = c.call or now - c.synced < SYNC_MS or now < self.next_call
-        if early or not (c.peers and c.plan.rate and (due or c.level < SYNC_BELOW * c.plan.burst)):
+        if early or not (c.peers and c.plan.rate and due):
             return []
         self.next_call = now + self.pace
         if c.epoch != now // EPOCH_MS:
@@ -140,15 +142,14 @@
         return [i.Count(name, round(c.call[0]) * ASKED + round(c.call[1]), 2 * EPOCH_MS)]
 
     def counted(self, e: i.Counted, now: float) -> None:
-        if (c := self.calls.pop(e.name, None)) is None or c.call is None:
+        if (c := self.calls.pop(e.name, None)) is None:
             return
-        (spent, asked), c.call = c.call, None
+        (spent, asked), c.call = c.call or (0.0, 0.0), None
         # A counter that is late or full has too many calls from all gateways: each slows down until it copes.
-        faster = max(self.pace * 0.85, CALL_MS[0])
-        self.pace = faster if e.result is i.Result.OK else min(self.pace * 1.5, CALL_MS[1])
-        if e.result.never_ran:  # surely not added; after a time-out it may have been
-            c.new = (c.new[0] + spent, c.new[1] + asked)
+        self.pace = min(max(self.pace * PACE[e.result is not i.Result.OK], CALL_MS[0]), CALL_MS[1])
         if e.result is not i.Result.OK:
+            if e.result.never_ran:  # surely not added; after a time-out it may have been
+                c.new = (c.new[0] + spent, c.new[1] + asked)
             return
         self.counter_at = c.synced = now
         c.added += round(spent) * ASKED + round(asked)
@@ -181,13 +182,13 @@
     """B, the room for units in flight, and its ranges by length (paper, 4.3, Figure 3)."""
 
     def __init__(self, s: i.Settings, now: float) -> None:
-        self.classes, self.largest = {c.name: c for c in s.classes}, s.sharing.largest_request
-        self.gateways = s.gateways
+        self.s, self.classes = s, {c.name: c for c in s.classes}
         self.length = {c.name: c.aim_ms / 4 for c in s.classes}
         self.asked = {c.name: Rate(POPULAR_MS, now) for c in s.classes}
         self.finished, self.mean_units = Rate(FINISH_MS, now), (1 + s.sharing.largest_request) / 2
-        self.bad, self.all = Rate(PRESSED_MS, now), Rate(PRESSED_MS, now)
-        self.used, self.sizes, self.value = [0.0], [0.0], 0.0
+        self.bad, self.all, self.used, self.sizes = Rate(PRESSED_MS, now), Rate(PRESSED_MS, now), [0.0], [0.0]
+        values = [c.worth * p.price / self.length[c.name] for c in s.classes for p in s.plans]
+        self.value = sum(values) / len(values)
 
     def pressed(self, now: float) -> bool:
         return self.bad.total(now) > PRESSED_PART * (5 + self.all.total(now))
@@ -217,9 +218,9 @@
         ranges, whole = 1 + max(self.range_of(n) for n in f2), sum(f2.values())
         aim = sum(f2[n] * self.classes[n].aim_ms for n in f2) / whole / 1000
         # Never below what keeps the largest request small against a part, nor below an attempt a server.
-        low = START_ATTEMPTS * self.mean_units * max(1, ready) / self.gateways
-        low /= 4 if self.pressed(now) else 1
-        room = max(low, ranges * self.largest, self.finished.per_s(now) * aim * AIM_PART)
+        attempts = START_ATTEMPTS / 4 if self.pressed(now) else START_ATTEMPTS
+        low = attempts * self.mean_units * max(1, ready) / self.s.gateways
+        room = max(low, ranges * self.s.sharing.largest_request, self.finished.per_s(now) * aim * AIM_PART)
         self.sizes = [0.0] * ranges
         for n, f in f2.items():
             self.sizes[self.range_of(n)] += f / whole * room
@@ -257,15 +258,13 @@
         self.servers: dict[str, Backend] = {}
 
     def update(self, event: i.Members) -> None:
-        old = self.servers
-        self.servers = {} if event.scope in (i.Scope.FULL, i.Scope.CACHED) else dict(old)
+        new = {} if event.scope in (i.Scope.FULL, i.Scope.CACHED) else dict(self.servers)
         for e in event.servers:
-            b = self.servers[e.address] = old.get(e.address) or Backend(e, self.sized, EJECT_MS)
-            if b.entry.online_since_ms != e.online_since_ms:  # started anew: cold, and nothing known of it
-                self.servers[e.address] = Backend(e, self.sized, EJECT_MS)
-            b.entry = e
-            if e.state is i.State.GONE:
-                del self.servers[e.address]
+            b = self.servers.get(e.address)
+            if b is None or b.entry.online_since_ms != e.online_since_ms:  # started anew
+                b = Backend(e, self.sized, EJECT_MS)
+            new[e.address], b.entry = b, e
+        self.servers = {a: b for a, b in new.items() if b.entry.state is not i.State.GONE}
 
     def ready(self) -> list[Backend]:
         return [b for b in self.servers.values() if b.entry.state is i.State.READY]
@@ -276,16 +275,12 @@
         return r.cold_share + (1 - r.cold_share) * done
 
     def silent(self, b: Backend, length: float, now: float) -> bool:
-        """Whether a server has answered nothing since a send that is long due."""
         return b.answered < b.oldest(now) < now - SUSPECT * length * max(1.0, b.slow)
 
     def choose(self, now: float, length: float, allowed, avoid: set[str]) -> Backend | None:
-        ready = self.ready()
-        for b in ready:
-            while b.sent and b.sent[0] < now - self.rules.fall_ms:
-                b.sent.popleft()
+        ready, since = self.ready(), now - self.rules.fall_ms
         warm = [b for b in ready if self.warmth(b, now) >= 1]
-        rate = sum(len(b.sent) for b in warm) / max(1e-9, sum(b.weight for b in warm))
+        rate = sum(b.recent(since) for b in warm) / max(1e-9, sum(b.weight for b in warm))
         out = [b for b in ready if now < b.out_until or self.silent(b, length, now)]
         if len(out) > EJECT_MOST * len(ready):
             out = []  # most look bad: not a matter of single servers
@@ -293,10 +288,10 @@
         for b in ready:
             f, w = self.warmth(b, now), b.weight
             # Slow start: a cold server gets its warmth's part of what warm ones of its size get here.
-            if not allowed(b.entry) or (f < 1 and len(b.sent) + 1 > max(1.0, f * w * rate)):
+            if not allowed(b.entry) or (f < 1 and b.recent(since) + 1 > max(1.0, f * w * rate)):
                 continue
             here = b.slow * (len(b.out) + 1) / (w * f) * (1 if b.entry.zone == self.zone else self.cross)
-            here *= 1 + 0.05 * self.rng.random()  # gateways that see the same must not herd
+            here *= 1 + self.rng.random() / 20  # gateways that see the same must not herd
             trial = b.fail >= FAIL_OUT / 2 and b.eject_ms > EJECT_MS and b.out  # was out: one at a time
             here += 1e6 * bool(b in out or trial) + 1e3 * (b.entry.address in avoid)
             if here < cost:
@@ -385,7 +380,6 @@
         self.room.ask(r.cls, r.units, now)
         inside, wait = self.quota.ask(c, r.units, now)
         news = self.quota.count(c, now, False) if self.s.sharing.counter else []
-        # Soft plans pass their bucket into free room; others are refused.
         free = not self.room.pressed(now) and sum(self.room.used) < SOFT_PART * sum(self.room.sizes)
         soft = free and c.plan.over_worth > c.plan.over_cost
         if (c.plan.ceiling_rate and c.ceiling < r.units) or not (inside or soft):
@@ -397,15 +391,15 @@
         if inside:
             self.quota.take(c, r.units, now)
         self.retries = min(RETRY_MOST, self.retries + RETRY_PART)
-        t = self.tickets[r.id] = Ticket(r, cls, c, inside, grant)
-        return [*self.send(t, server), *news]
+        self.tickets[r.id] = Ticket(r, cls, c, inside, grant)
+        return [*self.send(self.tickets[r.id], server), *news]
 
     def send(self, t: Ticket, b: Backend) -> list[i.Action]:
         n, now, usual = t.sent(b, self.now), self.now, self.room.length[t.r.cls] * max(1.0, b.slow)
         go: list[i.Action] = [i.Send(t.r.id, b.entry.address, t.r.not_after_ms)]
-        again = t.cls.effect is not i.Effect.UNSAFE and n + 1 < self.s.limits.max_attempts
-        limit = max(LIMIT_AIM * t.cls.aim_ms, LIMIT_TIMES * usual)
-        if again and self.s.limits.cancel and now + limit + usual < t.r.not_after_ms:
+        limit, most = max(LIMIT_AIM * t.cls.aim_ms, LIMIT_TIMES * usual), self.s.limits
+        again = most.cancel and t.cls.effect is not i.Effect.UNSAFE and n + 1 < most.max_attempts
+        if again and now + limit + usual < t.r.not_after_ms:
             self.serial += 1
             self.checks[self.serial] = (t.r.id, n)
             go.append(i.SetTimer(self.serial, limit))
@@ -435,9 +429,8 @@
         may = t.ran is None or cls.effect is i.Effect.SAFE or (keyed and now < t.ran[1] + cls.window_ms)
         useful = now + self.room.length[t.r.cls] < t.r.not_after_ms and self.retries >= 1
         if may and useful and len(t.sends) < self.s.limits.max_attempts:
-            tried = {s.address for s, _ in t.sends}
-            b = self.fleet.choose(now, self.room.length[t.r.cls], lambda e: self.may_go(t, e), tried)
-            if b is not None:
+            tried, usual = {s.address for s, _ in t.sends}, self.room.length[t.r.cls]
+            if (b := self.fleet.choose(now, usual, lambda e: self.may_go(t, e), tried)) is not None:
                 self.retries -= 1
                 return self.send(t, b)
         t.done = True
@@ -446,9 +439,9 @@
 
     def may_go(self, t: Ticket, e: i.Server) -> bool:
         """Keyed: only where repeats of the attempt that may have run are dropped."""
-        if t.ran is None or t.cls.effect is not i.Effect.KEYED or t.cls.group is i.Group.ALL:
-            return True
-        return e.zone == t.ran[0].zone if t.cls.group is i.Group.ZONE else e.cell == t.ran[0].cell
+        bound = t.ran is not None and t.cls.effect is i.Effect.KEYED and t.cls.group is not i.Group.ALL
+        where = attrgetter("zone" if t.cls.group is i.Group.ZONE else "cell")
+        return not bound or where(e) == where(t.ran[0])
 
     def end(self, t: Ticket) -> None:
         t.done = True
--- a/rushweir/state.py
+++ b/rushweir/state.py
@@ -71,6 +71,12 @@
         self.out: dict[tuple[str, int], float] = {}  # attempts out, oldest first, and when they were sent
         self.sent: deque[float] = deque()
 
+    def recent(self, since: float) -> int:
+        """Attempts sent since then; earlier ones are forgotten."""
+        while self.sent and self.sent[0] < since:
+            self.sent.popleft()
+        return len(self.sent)
+
     def oldest(self, now: float) -> float:
         return next(iter(self.out.values()), now)
 
--- a/tests/test_rules_kept.py
+++ b/tests/test_rules_kept.py
@@ -54,7 +54,11 @@
 def test_nothing_new_to_a_draining_or_gone_server(gateway):
     changes = i.Server("s0", state=i.State.DRAINING), i.Server("s1", state=i.State.GONE)
     gateway.list(*changes, scope=i.Scope.DELTA)
-    servers = {gateway.ask()[1].server for _ in range(9)}
+    servers = set()
+    for _ in range(20):
+        rid, send = gateway.ask()
+        servers.add(send.server)
+        gateway.end(rid, send, spent=300.0 + 10 * len(servers))
     assert servers == {"s2", "s3", "s4", "s5"}
 
 
