--- a/rushweir/rules.py
+++ b/rushweir/rules.py
@@ -22,7 +22,7 @@
 TOLD_MOST = 20  # customers in a message: what 256 bytes hold
 # Room
 START_ATTEMPTS = 8.0  # per ready server, of all gateways: what a small one takes without queueing long
-AIM_PART = 0.3  # of the aim to be in flight on average: the slow half and the unevenness need the rest
+AIM_PART = 0.4  # of the aim to be in flight on average: the slow half and the unevenness need the rest
 FINISH_MS = 4000.0  # window of units finished: longer than a request, shorter than a trouble
 POPULAR_MS = 15000.0  # window of popularity
 PRIOR = 2.0  # units added to each class's popularity: noise from few requests is smoothed
