A peer first heard of a customer counts by its view of the store; tests of the mechanism by hand

Found by a test: the first news of a peer about a known customer only set the base, so what it had spent was never missed here.

--- a/rushweir/rules.py
+++ b/rushweir/rules.py
@@ -123,9 +123,10 @@
             h = self.told.setdefault(key, {}).setdefault(source, Heard())
             if (c := self.by_hash.get(key)) is not None:
                 # A new run is a restarted peer, which counts from 0; a total below the last one came late.
-                step = (spent - (h.spent if h.run == news[0] else 0 if h.run else spent)) % 65536
+                step = (spent - h.spent * (h.run == news[0])) % 65536
                 c.refill(now)
-                c.level -= step if step < 32768 else step - 65536
+                left = c.level - (step if step < 32768 else step - 65536)
+                c.level = left if h.run else min(c.level, level * c.plan.burst)  # first told: as it sees it
             h.run, h.spent, h.demand, h.open, h.level, h.at = news[0], spent, demand, out, level, now
 
     def count(self, c: Customer, now: float, due: bool) -> list[i.Action]:
@@ -218,8 +219,7 @@
         ranges, whole = 1 + max(self.range_of(n) for n in f2), sum(f2.values())
         aim = sum(f2[n] * self.classes[n].aim_ms for n in f2) / whole / 1000
         # Never below what keeps the largest request small against a part, nor below an attempt a server.
-        attempts = START_ATTEMPTS / 4 if self.pressed(now) else START_ATTEMPTS
-        low = attempts * self.mean_units * max(1, ready) / self.s.gateways
+        low = START_ATTEMPTS * self.mean_units * max(1, ready) / self.s.gateways / (1 + 3 * self.pressed(now))
         room = max(low, ranges * self.s.sharing.largest_request, self.finished.per_s(now) * aim * AIM_PART)
         self.sizes = [0.0] * ranges
         for n, f in f2.items():
--- /dev/null
+++ b/tests/test_mechanism.py
@@ -0,0 +1,175 @@
+"""PBP with f2 against worked examples, and the demand-share quotas."""
+
+from __future__ import annotations
+
+import pytest
+
+from rushweir import interface as i
+
+
+def set_room(gateway, lengths, asked, sizes=None):
+    """A room with known lengths and popularities; sizes overrides the parts."""
+    room = gateway.policy.room
+    room.length = dict(zip(("look", "book", "pay"), lengths, strict=True))
+    for name, amount in zip(("look", "book", "pay"), asked, strict=True):
+        room.asked[name].sum, room.asked[name].at = amount, gateway.now
+    room.partition(6, gateway.now)
+    if sizes:
+        room.sizes, room.used = list(sizes), [0.0] * len(sizes)
+    room.value = 0.0  # no work is dearer than another here
+    return room
+
+
+def press(gateway):
+    gateway.policy.room.bad.add(1000, gateway.now)
+    gateway.policy.room.all.add(1000, gateway.now)
+
+
+def test_ranges_double_from_the_shortest_and_the_top_is_closed(gateway):
+    room = set_room(gateway, (100.0, 199.0, 400.0), (1, 1, 1))
+    assert [room.range_of(n) for n in ("look", "book", "pay")] == [0, 0, 1]
+    room = set_room(gateway, (100.0, 200.0, 401.0), (1, 1, 1))
+    assert [room.range_of(n) for n in ("look", "book", "pay")] == [0, 1, 2]
+
+
+def test_equal_lengths_leave_one_range(gateway):
+    assert len(set_room(gateway, (100.0, 100.0, 100.0), (1, 5, 9)).sizes) == 1
+
+
+def test_parts_are_popularity_times_length(gateway):
+    """With the prior of two: 10 x 100, 5 x 200, 5 x 400, so a quarter, a quarter and a half."""
+    room = set_room(gateway, (100.0, 200.0, 401.0), (8, 3, 3))
+    parts = [s / sum(room.sizes) for s in room.sizes]
+    assert parts == pytest.approx([1000 / 4005, 1000 / 4005, 2005 / 4005])
+
+
+def test_longer_borrows_downward_in_order_and_shorter_never_upward(gateway):
+    press(gateway)
+    room = set_room(gateway, (100.0, 200.0, 401.0), (1, 1, 1), sizes=(4.0, 3.0, 2.0))
+    grant = room.draw("pay", 7.0, 1.0, gateway.now)
+    assert [g for g in grant if g[1]] == [(2, 2.0), (1, 3.0), (0, 2.0)]
+    assert room.draw("book", 3.0, 1.0, gateway.now) is None
+    assert [g for g in room.draw("book", 2.0, 1.0, gateway.now) if g[1]] == [(0, 2.0)]
+    room.give_back(grant)
+    assert room.used == [2.0, 0.0, 0.0]
+    assert room.draw("look", 3.0, 1.0, gateway.now) is None
+    assert room.draw("look", 2.0, 1.0, gateway.now) is not None
+
+
+def test_not_pressed_is_greedy(gateway):
+    room = set_room(gateway, (100.0, 200.0, 401.0), (1, 1, 1), sizes=(4.0, 3.0, 2.0))
+    assert room.draw("look", 8.0, 1.0, gateway.now) is not None
+    assert room.draw("look", 2.0, 1.0, gateway.now) is None
+
+
+def admitted(gateway, count, plan="rated", **ask):
+    return sum(isinstance(gateway.ask(plan, **ask)[1], i.Send) for _ in range(count))
+
+
+def test_nothing_heard_gives_the_even_part(make):
+    assert admitted(make(servers=60), 10) == 2  # a burst of 6 over three gateways
+
+
+def test_only_gateway_of_a_customer_has_the_whole_quota(make):
+    assert admitted(make(servers=60), 10, spread=1) == 6
+
+
+def hears(gateway, *texts):
+    for source, text in enumerate(texts, 1):
+        gateway.do(i.PeerMessage(source, text))
+
+
+def test_heard_and_idle_peers_leave_the_whole_burst(make):
+    gateway, peer = make(servers=60), make(servers=60)
+    (text,) = {a.text for a in peer.do(i.Timer(0)) if isinstance(a, i.Tell) and a.to == 1}
+    hears(gateway, text, text)
+    assert admitted(gateway, 10) == 6
+
+
+def test_what_peers_spent_is_missing_here_and_told_once(make):
+    gateway, peer = make(servers=60), make(servers=60, me=1)
+    idle = [a.text for a in peer.do(i.Timer(0)) if isinstance(a, i.Tell) and a.to == 0]
+    hears(gateway, *idle, *idle)
+    gateway.ask("rated")
+    assert admitted(peer, 2) == 2
+    (text,) = [a.text for a in peer.do(i.Timer(0)) if isinstance(a, i.Tell) and a.to == 0]
+    level = gateway.policy.quota.customers["c"].level
+    hears(gateway, text)
+    first = gateway.policy.quota.customers["c"].level
+    hears(gateway, text)
+    assert gateway.policy.quota.customers["c"].level == first
+    assert first <= level - 0.9
+
+
+@pytest.mark.parametrize("text", ["", "hi 7", "0" * 11, "\u00e9" * 20])
+def test_foreign_messages_are_ignored(gateway, text):
+    assert gateway.do(i.PeerMessage(1, text)) == []
+
+
+def test_counter_that_comes_back_empty_hands_nothing_out(make):
+    gateway = make(servers=60, sharing=i.Sharing(counter=True))
+    gateway.ask("rated")
+    quota, c = gateway.policy.quota, gateway.policy.quota.customers["c"]
+    gateway.now += 300.0
+    for value, spent in ((40005, 3), (0, 0)):
+        (call,) = quota.count(c, gateway.now, True)
+        level = c.level
+        quota.counted(i.Counted(call.name, i.Result.OK, call.amount + value), gateway.now)
+        assert c.level <= level
+        assert spent == 0 or c.level < level
+        gateway.now += 300.0
+
+
+def test_soft_plan_passes_only_into_free_room(make):
+    gateway = make(servers=12)
+    assert admitted(gateway, 8, "soft") == 8
+    press(gateway)
+    assert admitted(gateway, 4, "soft") == 0
+
+
+def test_refusal_says_when_the_store_holds_the_request(make):
+    gateway = make(servers=60)
+    admitted(gateway, 2)
+    assert 0 < gateway.ask("rated")[1].stay_away_ms <= 500.0
+
+
+@pytest.mark.parametrize("ask", [{"plan": "none"}, {"cls": "none"}])
+def test_unknown_plan_or_class_is_refused(gateway, ask):
+    assert isinstance(gateway.ask(**ask)[1], i.Refuse)
+
+
+def test_no_servers_is_refused(make):
+    assert isinstance(make(servers=0).ask()[1], i.Refuse)
+
+
+@pytest.mark.parametrize("change", [{"classes": ()}, {"plans": ()}, {"me": 3}])
+def test_settings_that_cannot_work_are_an_error(make, change):
+    with pytest.raises(ValueError, match="settings need"):
+        make(**change)
+
+
+def test_idle_customers_are_forgotten(gateway):
+    rid, send = gateway.ask()
+    gateway.end(rid, send)
+    gateway.now += 40000.0
+    gateway.do(i.Timer(0))
+    assert not gateway.policy.quota.customers
+    assert not gateway.policy.tickets
+
+
+def test_most_servers_failing_ejects_none(gateway):
+    for _ in range(60):
+        rid, send = gateway.ask()
+        gateway.end(rid, send, i.Result.ERROR, settled=True)
+    assert isinstance(gateway.ask()[1], i.Send)
+
+
+def test_quick_errors_do_not_look_like_a_fast_server(gateway):
+    sent = []
+    for _ in range(80):
+        rid, send = gateway.ask()
+        bad = send.server == "s0"
+        gateway.now += 5.0
+        gateway.end(rid, send, i.Result.ERROR if bad else i.Result.OK, 5.0 if bad else 200.0, settled=True)
+        sent.append(send.server)
+    assert sent.count("s0") <= 8
