--- a/tests/test_found.py
+++ b/tests/test_found.py
@@ -77,3 +77,15 @@
         admitted[cls] += isinstance(gateway.ask(cls=cls)[1], i.Send)
     assert admitted["look"] > 0
     assert admitted["book"] > 1.3 * admitted["look"]
+
+
+def test_lost_zone_of_two_is_set_aside(make):
+    """With half of the servers gone nothing was ejected, and one attempt in four met no connection (i04d1b7)."""
+    gateway, lost = make(servers=8), 0
+    for _ in range(120):
+        rid, send = gateway.ask()
+        gateway.now += 10.0
+        gone = int(send.server[1:]) % 2 == 1
+        lost += gone
+        gateway.end(rid, send, i.Result.CONNECT_FAILED if gone else i.Result.OK, 200.0, settled=True)
+    assert lost <= 24
