--- a/tests/test_found.py
+++ b/tests/test_found.py
@@ -17,7 +17,7 @@
 
 
 def test_start_room_is_split_over_the_gateways(make):
-    """Twelve gateways each took a few attempts a server, and together drowned the fleet (ieb69a0)."""
+    """Twelve gateways each took a few attempts a server, and drowned the fleet (ieb69a0)."""
     few, many = make(gateways=3), make(gateways=12)
     assert sum(many.policy.room.sizes) * 4 == sum(few.policy.room.sizes)
 
@@ -80,7 +80,7 @@
 
 
 def test_lost_zone_of_two_is_set_aside(make):
-    """With half of the servers gone nothing was ejected, and one attempt in four met no connection (i04d1b7)."""
+    """With half of the servers gone none was ejected; one attempt in four met no connection (i04d1b7)."""
     gateway, lost = make(servers=8), 0
     for _ in range(120):
         rid, send = gateway.ask()
