--- a/rushweir/state.py
+++ b/rushweir/state.py
@@ -3,9 +3,10 @@
 import math
 from base64 import b85decode, b85encode
 from collections import deque
-from collections.abc import Iterable
+from heapq import nsmallest
 from struct import Struct
 from struct import error as StructError
+from zlib import crc32
 
 from rushweir import interface as i
 
@@ -31,6 +32,34 @@
         return self.total(now) * 1000 / self.memory
 
 
+class Parts:
+    """Room cut into parts, and how much of each is in use."""
+
+    def __init__(self) -> None:
+        self.sizes, self.used = [0.0], [0.0]
+
+    def resize(self, count: int, shares: dict[str, tuple[int, float]]) -> None:
+        self.sizes = [0.0] * count
+        self.used += [0.0] * (count - len(self.used))
+        for k, size in shares.values():
+            self.sizes[k] += size
+
+    def draw(self, order: list[int], amount: float) -> list[tuple[int, float]]:
+        """Take an amount from the parts in this order; what they lack is taken from the first all the same."""
+        grant = []
+        for k in order:
+            grant.append((k, min(amount, max(0.0, self.sizes[k] - self.used[k]))))
+            amount -= grant[-1][1]
+        grant.append((order[0], amount))
+        for k, part in grant:
+            self.used[k] += part
+        return grant
+
+    def give_back(self, grant: list[tuple[int, float]]) -> None:
+        for k, part in grant:
+            self.used[k] = max(0.0, self.used[k] - part)
+
+
 class Store:
     """A customer's store of units and attempts out, as a keeper holds it or a door was last told."""
 
@@ -43,9 +72,11 @@
     def refill(self, rate: float, most: float, now: float) -> None:
         self.level, self.at = min(most, self.level + rate * (now - self.at) / 1000), now
 
-    def take(self, units: float, now: float) -> None:
-        self.level -= units
-        self.out.append(now)
+    def open(self, since: float) -> int:
+        """Attempts out; older ones are forgotten."""
+        while self.out and self.out[0] < since:
+            self.out.popleft()
+        return len(self.out)
 
     def settle(self, more: float, over: bool, most: float) -> None:
         self.level = min(most, self.level - more)
@@ -125,13 +156,40 @@
         self.c.open -= 1
 
 
-def pack(form: Struct, entries: Iterable[tuple]) -> str:
-    return b85encode(b"".join(form.pack(*e) for e in entries)).decode()
+class Outbox:
+    """Entries for peers, sent in messages of at most so many, as a token bucket of messages allows."""
+
+    def __init__(self, form: Struct, per_s: float, burst: float, most: int, now: float) -> None:
+        self.form, self.per_ms, self.burst, self.most = form, per_s / 1000, burst, most
+        self.tokens, self.at = burst, now
+        self.waiting: dict[int, list[tuple]] = {}
+
+    def post(self, to: int, entry: tuple) -> None:
+        self.waiting.setdefault(to, []).append(entry)
+
+    def flush(self, now: float) -> list[tuple[int, str]]:
+        """What goes out now: each peer's entries together, as far as the tokens last."""
+        self.tokens, self.at = min(self.burst, self.tokens + (now - self.at) * self.per_ms), now
+        out = []
+        for to, entries in list(self.waiting.items()):
+            while entries and self.tokens >= 1:
+                self.tokens -= 1
+                text = b85encode(b"".join(self.form.pack(*e) for e in entries[: self.most])).decode()
+                out.append((to, text))
+                del entries[: self.most]
+            if not entries:
+                del self.waiting[to]
+        return out
+
+
+def rendezvous(key: int, among: set[int], count: int) -> list[int]:
+    """The few highest by rendezvous hashing."""
+    return nsmallest(count, among, key=lambda p: crc32(b"%d %d" % (key, p)))
 
 
 def unpack(form: Struct, text: str) -> list[tuple]:
     """The entries of a message; none if the text is not a message of ours."""
     try:
-        return list(form.iter_unpack(b85decode(text)))
+        return [e for e in form.iter_unpack(b85decode(text)) if all(map(math.isfinite, e))]
     except (ValueError, StructError):
         return []
--- a/tests/test_found.py
+++ b/tests/test_found.py
@@ -21,7 +21,7 @@
 def test_start_room_is_split_over_the_gateways(make):
     """Twelve gateways each took a few attempts a server, and drowned the fleet (ieb69a0)."""
     few, many = make(gateways=3, servers=60), make(gateways=12, servers=60)
-    assert sum(many.policy.room.sizes) * 3 < sum(few.policy.room.sizes)
+    assert sum(many.policy.room.parts.sizes) * 3 < sum(few.policy.room.parts.sizes)
 
 
 def test_attempt_on_a_silent_server_is_taken_back_and_repeated(gateway):
@@ -60,7 +60,7 @@
 def test_start_room_counts_units_not_attempts(make):
     """Where a request counts several units, a pressed gateway's least room held one or two (ieaa566)."""
     gateway = make(sharing=i.Sharing(largest_request=6.0))
-    assert sum(gateway.policy.room.sizes) == pytest.approx(3.5 * sum(make().policy.room.sizes))
+    assert sum(gateway.policy.room.parts.sizes) == pytest.approx(3.5 * sum(make().policy.room.parts.sizes))
 
 
 def test_cheap_work_leaves_room_for_dear_work(make):
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -15,14 +15,14 @@
         room.asked[name].sum, room.asked[name].at = amount, gateway.now
     room.partition(6, gateway.now)
     if sizes:
-        room.sizes, room.used = list(sizes), [0.0] * len(sizes)
+        room.parts.sizes, room.parts.used = list(sizes), [0.0] * len(sizes)
     room.value = 0.0  # no work is dearer than another here
     return room
 
 
 def press(gateway):
-    gateway.policy.room.bad.add(1000, gateway.now)
-    gateway.policy.room.all.add(1000, gateway.now)
+    gateway.policy.room.outcomes.bad.add(1000, gateway.now)
+    gateway.policy.room.outcomes.all.add(1000, gateway.now)
 
 
 def test_ranges_double_from_the_shortest_and_the_top_is_closed(gateway):
@@ -33,13 +33,13 @@
 
 
 def test_equal_lengths_leave_one_range(gateway):
-    assert len(set_room(gateway, (100.0, 100.0, 100.0), (1, 5, 9)).sizes) == 1
+    assert len(set_room(gateway, (100.0, 100.0, 100.0), (1, 5, 9)).parts.sizes) == 1
 
 
 def test_parts_are_popularity_times_length(gateway):
     """With the prior of two: 10 x 100, 5 x 200, 5 x 400, so a quarter, a quarter and a half."""
     room = set_room(gateway, (100.0, 200.0, 401.0), (8, 3, 3))
-    parts = [s / sum(room.sizes) for s in room.sizes]
+    parts = [s / sum(room.parts.sizes) for s in room.parts.sizes]
     assert parts == pytest.approx([1000 / 4005, 1000 / 4005, 2005 / 4005])
 
 
@@ -50,8 +50,8 @@
     assert [g for g in grant if g[1]] == [(2, 2.0), (1, 3.0), (0, 2.0)]
     assert room.draw("book", 3.0, 1.0, gateway.now) is None
     assert [g for g in room.draw("book", 2.0, 1.0, gateway.now) if g[1]] == [(0, 2.0)]
-    room.give_back(grant)
-    assert room.used == [2.0, 0.0, 0.0]
+    room.parts.give_back(grant)
+    assert room.parts.used == [2.0, 0.0, 0.0]
     assert room.draw("look", 3.0, 1.0, gateway.now) is None
     assert room.draw("look", 2.0, 1.0, gateway.now) is not None
 
--- a/tests/test_rules_kept.py
+++ b/tests/test_rules_kept.py
@@ -100,8 +100,8 @@
                 out.append((rid, send))
         if step % 50 == 0:
             gateway.do(i.Timer(0))
-        assert all(u >= 0 for u in gateway.policy.room.used)
+        assert all(u >= 0 for u in gateway.policy.room.parts.used)
     for rid, send in out:
         gateway.end(rid, send, i.Result.TIMEOUT, 900.0, settled=True)
-    assert sum(gateway.policy.room.used) == pytest.approx(0.0, abs=1e-6)
+    assert sum(gateway.policy.room.parts.used) == pytest.approx(0.0, abs=1e-6)
     assert not gateway.policy.tickets
