--- a/rushweir/rules.py
+++ b/rushweir/rules.py
@@ -343,7 +343,7 @@
         if t is None or t.done:
             return []
         if n < 0:  # still held: ask again; a call to the counter always ends by itself
-            return self.ask(t) if t.asks == -n and t.keeper != COUNTER else []
+            return self.ask(t) if t.asks == -n and not t.sends and t.keeper != COUNTER else []
         # Its server answered nobody since: silent, unless all are slow.
         b = self.fleet.servers.get(t.sends[n][0].address)
         silent = (b is None or b.answered < t.sends[n][1]) and not self.room.pressed(self.now)
--- a/tests/test_found.py
+++ b/tests/test_found.py
@@ -121,3 +121,20 @@
         gateway.end(rid, send)
         sent.append(int(send.server[1:]) % 2)
     assert 0.55 < sum(sent) / 300 < 0.8
+
+
+def test_keeper_is_not_asked_again_for_a_request_sent_on(wire):
+    """The timer of an answered question asked a second time, and the keeper's mail doubled (dakar-fann)."""
+    net, asked = wire(20), []
+    deliver = net.act
+
+    def act(k, actions):
+        asked.extend(a for a in actions if isinstance(a, i.Tell))
+        deliver(k, actions)
+
+    net.act = act
+    for k in range(20):
+        net.ask(k)
+        net.run(1000.0)
+    assert net.sent() == 20
+    assert len(asked) <= 2 * 19
--- a/tests/test_many_doors.py
+++ b/tests/test_many_doors.py
@@ -73,3 +73,47 @@
     net.ask(9, spread=3, first=0)
     net.run(500.0)
     assert net.sent() == 1
+
+
+def test_damaged_repeated_and_late_messages_change_nothing_else(wire):
+    """A word for nobody, a plan unknown here, a number not asked, an answer told twice."""
+    net = wire(10)
+    texts: list[str] = []
+    deliver = net.act
+
+    def act(k, actions):
+        texts.extend(a.text for a in actions if isinstance(a, i.Tell))
+        deliver(k, actions)
+
+    net.act = act
+    net.ask(3)
+    net.run(200.0)
+    assert len(texts) == 2  # a question and its answer
+    for node in net.nodes:
+        node.now = net.now
+        for text in (*texts, *texts, texts[0][:-3], "~" * 40):
+            assert all(isinstance(a, i.Tell) for a in node.do(i.PeerMessage(99, text)))
+    assert net.sent() == 1
+
+
+def test_answers_of_a_counter_that_nobody_asked_are_ignored(wire):
+    net = wire(2, sharing=SOURCES["counter"])
+    assert net.nodes[0].do(i.Counted(77, i.Result.OK, 3.0)) == []
+    assert net.nodes[0].do(i.Counted(77, i.Result.TIMEOUT)) == []
+
+
+def test_late_counter_leaves_the_even_part(wire):
+    net = wire(10, sharing=SOURCES["counter"])
+    net.counter_result = i.Result.TIMEOUT
+    assert 5 <= ask_round(net, 10, 10) <= 10 + 2 * 10.5 + 6
+
+
+def test_client_gone_while_held_gets_nothing_and_its_units_come_back(wire):
+    net = wire(10)
+    door = next(k for k in range(10) if net.ask(k) not in net.finals)
+    rid = f"r{net.n}"
+    net.nodes[door].do(i.Gone(rid))
+    net.run(300.0)
+    assert rid not in net.finals
+    (store,) = [s for node in net.nodes for s in node.policy.quota.kept.values()]
+    assert store.level + net.n - 1 >= 6.0 - 1e-6
