--- a/rushweir/rules.py
+++ b/rushweir/rules.py
@@ -21,14 +21,16 @@
 ASK, DONE, YES, NO, COUNTER = 0, 1, 2, 3, -1
 AIM_PART = 0.4  # of the aim to be in flight on average: the slow half and the unevenness need the rest
 POPULAR_MS, PRIOR = 15000.0, 2.0  # window of popularity; units added for each class against noise
-START_ATTEMPTS, SPREAD = 8.0, 1.0  # per ready server, of all gateways; of its root more, for chance
+START_ATTEMPTS, SPREAD = 4.0, 1.0  # per ready server, of all gateways; of its root more, out of credit
 PRESSED_MS, PRESSED_PART = 2000.0, 0.1  # life of signs of pressure; their part of outcomes and 5 good ones
 KEEP_PART, SOFT_PART = 0.5, 0.35  # of the room: closed to worthless work, open to work beyond quotas
-LENGTH_ALPHA, SLOW_ALPHA, VALUE_ALPHA = 0.05, 0.1, 0.02  # weight of one sample in each running mean
+LENGTH_ALPHA, SLOW_ALPHA, VALUE_ALPHA = 0.05, 0.1, 0.02  # least weight of a sample in each running mean
+WORST = 10.0  # times the usual: a sample counts for no more
 FAIL_OUT, STANDS_OUT = 0.4, 1.5  # failing part to set a server aside, if also so many times the mean
 CROSS, SAMPLE = 10.0, 12  # times the price of crossing zones; servers looked at, a small fleet whole
-RETRY_PART, RETRY_MOST = 0.15, 10.0  # retry budget per request taken, and at most: no retry storm
-LIMIT_AIM, LIMIT_TIMES = 0.4, 4.0  # of the aim, and of usual times: then a silent server loses an attempt
+RETRY_PART, RETRY_MOST = 0.3, 30.0  # retry budget per answer in time, and at most of all: no retry storm
+LIMIT_AIM, LIMIT_TIMES = 0.4, 6.0  # of the aim, and of the median time: then an attempt counts as lost
+MEDIAN_STEP = 0.05  # of the median, for each answer
 
 
 class Quota:
@@ -179,51 +181,66 @@
 
     def __init__(self, s: i.Settings, now: float) -> None:
         self.s, self.classes = s, {c.name: c for c in s.classes}
-        self.length = {c.name: c.aim_ms / 4 for c in s.classes}
+        self.length = {c.name: st.Mean(c.aim_ms / 4) for c in s.classes}
         self.asked = {c.name: st.Rate(POPULAR_MS, now) for c in s.classes}
         self.finished, self.mean_units = st.Rate(MEMORY_MS, now), (1 + s.sharing.largest_request) / 2
         self.outcomes, self.parts = st.Health(PRESSED_MS, now), st.Parts()
-        values = [c.worth * p.price / self.length[c.name] for c in s.classes for p in s.plans]
+        values = [c.worth * p.price / self.length[c.name].value for c in s.classes for p in s.plans]
         self.value = sum(values) / len(values)
+        self.credit, self.most, self.at, self.median = 0.0, 0.0, now, 1.0  # of times, in lengths
 
     def pressed(self, now: float) -> bool:
         return self.outcomes.bad.total(now) > PRESSED_PART * (5 + self.outcomes.all.total(now))
 
     def observe(self, name: str, e: i.Outcome, units: float, now: float) -> None:
         ok, late = e.result is i.Result.OK, e.spent_ms > self.classes[name].aim_ms
-        self.outcomes.note(e.result in (i.Result.FULL, i.Result.TIMEOUT) or (ok and late), now)
+        unanswered = e.result in (i.Result.TIMEOUT, i.Result.CANCELLED)
+        self.outcomes.note(e.result is i.Result.FULL or unanswered or (ok and late), now)
         self.finished.add(units * ok, now)
-        if ok or (e.result is i.Result.TIMEOUT and late):
-            self.length[name] += LENGTH_ALPHA * (e.spent_ms - self.length[name])
+        if ok:
+            self.median *= 1 + MEDIAN_STEP * (1 if e.spent_ms > self.median * self.length[name].value else -1)
+            self.length[name].learn(e.spent_ms, LENGTH_ALPHA)
 
     def range_of(self, name: str) -> int:
         """Range of lengths [2^k lmin, 2^(k+1) lmin) of a class, from 0; the top one is closed above."""
-        low = min(self.length.values())
-        ranges = max(1, math.ceil(math.log2(max(self.length.values()) / low) - 1e-9))
-        return min(int(math.log2(self.length[name] / low)), ranges - 1)
+        lengths = [m.value for m in self.length.values()]
+        ranges = max(1, math.ceil(math.log2(max(lengths) / min(lengths)) - 1e-9))
+        return min(int(math.log2(self.length[name].value / min(lengths))), ranges - 1)
 
     def partition(self, ready: int, now: float) -> None:
         """B and its parts, by f2: popularity (units asked) times length."""
-        f2 = {n: (r.total(now) + PRIOR) * self.length[n] for n, r in self.asked.items()}
+        f2 = {n: (r.total(now) + PRIOR) * self.length[n].value for n, r in self.asked.items()}
         ranges, whole = {n: self.range_of(n) for n in f2}, sum(f2.values())
         aim = sum(f2[n] * self.classes[n].aim_ms for n in f2) / whole / 1000
         low = START_ATTEMPTS * self.mean_units * max(1, ready) / self.s.gateways
         pressed, done = self.pressed(now), self.finished.per_s(now) * aim * AIM_PART
-        room = max(low / 4 if pressed else low, done)
-        room += 0.0 if pressed else SPREAD * math.sqrt(room * self.mean_units)
+        room = max(low / 2 if pressed else low, done)
+        self.bank(now)
+        self.most = room * aim * 1000
         self.parts.resize(1 + max(ranges.values()), [(ranges[n], f / whole * room) for n, f in f2.items()])
 
+    def bank(self, now: float) -> float:
+        """The room not used so far, in units times ms: what a gateway may use beyond B, later. So chance
+        fills no room of one or two, and yet all gateways together have no more in flight than all their B."""
+        sizes, used = sum(self.parts.sizes), sum(self.parts.used)
+        self.credit = min(self.most, self.credit + (sizes - used) * (now - self.at))
+        self.credit, self.at = max(self.credit, -MEMORY_MS * self.mean_units), now
+        return self.credit
+
     def draw(self, name: str, units: float, price: float, now: float) -> list[tuple[int, float]] | None:
         parts, top = self.parts, min(self.range_of(name), len(self.parts.sizes) - 1)
-        order = [*range(top, -1, -1), *([] if self.pressed(now) else range(top + 1, len(parts.sizes)))]
+        pressed = self.pressed(now)
+        order = [*range(top, -1, -1), *([] if pressed else range(top + 1, len(parts.sizes)))]
         # Length stands for profit in the paper; here worth does too, so cheap work leaves room for dear work.
-        value = self.classes[name].worth * price / self.length[name]
+        value = self.classes[name].worth * price / self.length[name].value
         self.value += VALUE_ALPHA * (value - self.value)
         keep = KEEP_PART * max(0.0, 1 - value / self.value)
         used, free = sum(parts.used), sum(max(0.0, parts.sizes[k] - parts.used[k]) for k in order)
-        if used > 1e-6 and (free < units - 1e-9 or sum(parts.sizes) * (1 - keep) - used < units):
+        more = SPREAD * math.sqrt(sum(parts.sizes) * self.mean_units) * (self.bank(now) > 0 and not pressed)
+        short = free + more < units - 1e-9 or (sum(parts.sizes) + more) * (1 - keep) - used < units
+        if short and (used > 1e-6 or self.credit < 0):
             return None
-        return parts.draw(order, units)  # an idle gateway takes a request larger than all its room
+        return parts.draw(order, units)  # an idle gateway with credit takes a request larger than its room
 
 
 class Fleet:
@@ -271,7 +288,7 @@
                 continue
             others = self.others * self.rng.expovariate(1.0) + 1 - self.others
             far = 1 if b.entry.zone == self.zone else self.cross
-            here = b.slow * b.health[-1].slow * (len(b.out) + others) / able[b] * far
+            here = b.slow * b.health[-1].slow.value * (len(b.out) + others) / able[b] * far
             costs[b] = here + 1e6 * self.fails(b, FAIL_OUT, now) + 1e3 * (b.entry.address in avoid)
         return min(costs, key=costs.get, default=None)
 
@@ -281,12 +298,13 @@
             return True
         if e.result in (i.Result.OK, i.Result.ERROR, i.Result.FULL):
             b.answered = now
-        if e.result is i.Result.OK:
-            kind, ratio = b.health[-1], min(e.spent_ms / usual, 10.0)
-            b.slow += SLOW_ALPHA * (ratio / kind.slow - b.slow)
-            kind.slow += SLOW_ALPHA * (ratio - kind.slow)
-        slow = e.result in (i.Result.TIMEOUT, i.Result.CANCELLED)  # of a zone or kind this is pressure
-        for h in (b.health[0], self.whole, *([] if slow else b.health[1:])):
+        unanswered = e.result in (i.Result.TIMEOUT, i.Result.CANCELLED)  # of a zone or kind this is pressure
+        kind, ratio = b.health[-1].slow, min(e.spent_ms / usual, WORST)
+        # A jammed server answers nothing, and would never be found slow by its answers (L33b1c1).
+        if e.result is i.Result.OK or (unanswered and ratio > kind.value * b.slow):
+            b.slow += SLOW_ALPHA * (ratio / kind.value - b.slow)
+            kind.learn(ratio, SLOW_ALPHA)
+        for h in (b.health[0], self.whole, *([] if unanswered else b.health[1:])):
             h.note(e.result not in (i.Result.OK, i.Result.FULL), now)
         return self.fails(b, FAIL_OUT / 2, now)
 
@@ -298,7 +316,7 @@
         if not (settings.classes and settings.plans and 0 <= settings.me < settings.gateways):
             raise ValueError("settings need classes, plans and a gateway number below the count")
         rng = random.Random(seed)
-        self.s, self.now, self.retries = settings, now_ms, RETRY_MOST
+        self.s, self.now, self.retries = settings, now_ms, 1 + RETRY_MOST / settings.gateways
         self.quota, self.room = Quota(settings, rng, now_ms), Room(settings, now_ms)
         self.fleet, self.tickets = Fleet(settings, rng, now_ms), dict[str, st.Ticket]()
         self.checks, self.serial = dict[int, tuple[str, int]](), rng.randrange(2, 65536)
@@ -342,10 +360,23 @@
             return []
         if n < 0:  # still held: ask again
             return self.ask(t) if t.asks == -n and not t.sends else []
-        # Its server answered nobody since: silent, unless all are slow.
+        # Lost: it outlived several usual answers, and its server answered nobody since. Repeated if that can
+        # be in time: a server may go on with the first copy, and late repeats jammed a fleet (L33b1c1). Else
+        # its room is free: servers that swallowed half of what they got held three quarters of it.
         b = self.fleet.servers.get(t.sends[n][0].address)
-        silent = (b is None or b.answered < t.sends[n][1]) and not self.room.pressed(self.now)
-        return [i.Cancel(rid, n)] if silent and n in t.out else []
+        if n not in t.out or (b is not None and b.answered >= t.sends[n][1]):
+            return []
+        if self.s.limits.cancel and t.cls.effect is not i.Effect.UNSAFE and self.useful(t):
+            return [i.Cancel(rid, n)]
+        self.room.parts.give_back(t.grant)
+        t.grant = []
+        return []
+
+    def useful(self, t: st.Ticket) -> bool:
+        """Whether one more attempt is within the limits, and likely to end within the aim."""
+        ends = self.now + self.room.length[t.r.cls].value
+        left = self.retries >= 1 and len(t.sends) < self.s.limits.max_attempts
+        return left and ends < min(t.aim_at, t.r.not_after_ms)
 
     def ask(self, t: st.Ticket) -> list[i.Action]:
         c, units, now = t.c, t.r.units, self.now
@@ -375,7 +406,6 @@
         if server is not None and c.ceiling >= r.units:
             t.inside = inside
             c.ceiling -= r.units
-            self.retries = min(RETRY_MOST, self.retries + RETRY_PART)
             return self.send(t, server)
         if inside:
             self.quota.settle(t, -r.units, True)
@@ -400,16 +430,15 @@
             return [self.refuse(r, self.quota.wait(c, r.units))]
         if (grant := self.room.draw(r.cls, r.units, c.plan.price, now)) is None:
             return [self.refuse(r)]
-        t = self.tickets[r.id] = st.Ticket(r, cls, c, grant)
+        t = self.tickets[r.id] = st.Ticket(r, cls, c, grant, now + cls.aim_ms)
         return self.ask(t)
 
     def send(self, t: st.Ticket, b: st.Backend) -> list[i.Action]:
         self.fleet.sent.add(1, self.now)
-        n, now, usual = t.sent(b, self.now), self.now, self.room.length[t.r.cls] * max(1.0, b.slow)
+        n, usual = t.sent(b, self.now), self.room.length[t.r.cls].value * self.room.median
+        limit = max(LIMIT_AIM * t.cls.aim_ms, LIMIT_TIMES * usual)
         go: list[i.Action] = [i.Send(t.r.id, b.entry.address, t.r.not_after_ms)]
-        limit, most = max(LIMIT_AIM * t.cls.aim_ms, LIMIT_TIMES * usual), self.s.limits
-        again = most.cancel and t.cls.effect is not i.Effect.UNSAFE and n + 1 < most.max_attempts
-        if again and now + limit + usual < t.r.not_after_ms:
+        if self.now + limit < t.r.not_after_ms:
             go.append(self.later(t, n, limit))
         return go
 
@@ -418,7 +447,9 @@
         if t is None or e.attempt not in t.out:
             return []
         t.back(e.attempt)
-        if not self.fleet.done(e, self.room.length[t.r.cls], now):
+        if e.result is i.Result.OK and now < t.aim_at:
+            self.retries = min(1 + RETRY_MOST / self.s.gateways, self.retries + RETRY_PART)
+        if not self.fleet.done(e, self.room.length[t.r.cls].value, now):
             self.room.observe(t.r.cls, e, t.r.units, now)
         if not e.result.never_ran and t.ran is None:
             t.ran = t.sends[e.attempt]
@@ -431,8 +462,7 @@
     def again(self, t: st.Ticket) -> list[i.Action]:
         now, cls, keyed = self.now, t.cls, t.cls.effect is i.Effect.KEYED
         may = t.ran is None or cls.effect is i.Effect.SAFE or (keyed and now < t.ran[1] + cls.window_ms)
-        useful = now + self.room.length[t.r.cls] < t.r.not_after_ms and self.retries >= 1
-        if may and useful and len(t.sends) < self.s.limits.max_attempts:
+        if may and self.useful(t):
             tried = {s.address for s, _ in t.sends}
             if (b := self.fleet.choose(now, lambda e: self.may_go(t, e), tried)) is not None:
                 self.retries -= 1
--- a/rushweir/state.py
+++ b/rushweir/state.py
@@ -30,6 +30,19 @@
         return self.total(now) * 1000 / self.memory
 
 
+class Mean:
+    """A running mean: the first value counts as two samples, later ones at least by a given weight."""
+
+    __slots__ = ("count", "value")
+
+    def __init__(self, value: float) -> None:
+        self.value, self.count = value, 2
+
+    def learn(self, sample: float, least: float) -> None:
+        self.count += 1
+        self.value += max(least, 1 / self.count) * (sample - self.value)
+
+
 class Parts:
     """Room cut into parts, and how much of each is in use."""
 
@@ -111,7 +124,7 @@
     """How often something failed lately, and how slow it is against the usual."""
 
     def __init__(self, memory: float, now: float) -> None:
-        self.bad, self.all, self.slow = Rate(memory, now), Rate(memory, now), 1.0
+        self.bad, self.all, self.slow = Rate(memory, now), Rate(memory, now), Mean(1.0)
 
     def note(self, failed: bool, now: float) -> None:
         self.bad.add(failed, now)
@@ -151,8 +164,8 @@
 class Ticket:
     """A request that is owed an answer or has attempts out."""
 
-    def __init__(self, r: i.Request, cls: i.RequestClass, c: Customer, grant: list) -> None:
-        self.r, self.cls, self.c, self.grant = r, cls, c, grant
+    def __init__(self, r: i.Request, cls: i.RequestClass, c: Customer, grant: list, aim_at: float) -> None:
+        self.r, self.cls, self.c, self.grant, self.aim_at = r, cls, c, grant, aim_at
         self.inside = self.done = False
         self.keeper: int | None = None  # who was asked, and how often so far
         self.asks = 0
