--- a/rushweir/rules.py
+++ b/rushweir/rules.py
@@ -429,7 +429,7 @@
         if c.ceiling < r.units or (self.quota.vain(c, r.units, now) and not self.soft(c)):
             return [self.refuse(r, self.quota.wait(c, r.units))]
         if (grant := self.room.draw(r.cls, r.units, c.plan.price, now)) is None:
-            return [self.refuse(r)]
+            return [self.refuse(r, self.room.length[r.cls].value)]  # in which the room turns over once
         t = self.tickets[r.id] = st.Ticket(r, cls, c, grant, now + cls.aim_ms)
         return self.ask(t)
 
@@ -469,7 +469,8 @@
                 return self.send(t, b)
         self.end(t)
         harmless = t.ran is None or cls.effect is i.Effect.SAFE or (keyed and cls.group is i.Group.ALL)
-        return [self.refuse(t.r) if harmless and now < t.r.not_after_ms else i.Fail(t.r.id)]
+        wait = self.room.length[t.r.cls].value
+        return [self.refuse(t.r, wait) if harmless and now < t.r.not_after_ms else i.Fail(t.r.id)]
 
     def may_go(self, t: st.Ticket, e: i.Server) -> bool:
         if t.ran is None or t.cls.effect is not i.Effect.KEYED or t.cls.group is i.Group.ALL:
