--- a/rushweir/rules.py
+++ b/rushweir/rules.py
@@ -87,15 +87,19 @@
         c.store.level -= units * inside * (1 if fresh else c.doors)
         return inside
 
-    def keep(self, key: int, plan: i.Plan, units: float, now: float) -> bool:
+    def keep(self, key: int, plan: i.Plan, units: float, now: float, who: tuple[int, int]) -> bool:
+        """A place is known by gateway and number: by order alone, each end whose word was lost cost the
+        customer a place for as long as it kept asking (h499d24). A question asked again takes nothing."""
         store = self.kept.setdefault(key, st.Store(plan.burst, MEMORY_MS, now))
         store.refill(plan.rate, plan.burst, now)
-        store.demand.add(units, now)
         full = 0 < plan.open_limit <= store.open(now - SILENT_MS)
+        if who in store.out:
+            return True
+        store.demand.add(units, now)
         inside = not full and (not plan.rate or store.level >= units)
         if inside:
             store.level -= units
-            store.out.append(now)
+            store.out[who] = now
         return inside
 
     def wait(self, c: st.Customer, units: float) -> float:
@@ -105,20 +109,20 @@
     def settle(self, t: st.Ticket, more: float, over: bool) -> None:
         c = t.c
         if t.keeper == self.s.me and c.hash in self.kept:
-            self.kept[c.hash].settle(more, over, c.plan.burst)
+            self.kept[c.hash].settle(more, (self.s.me, t.number) if over else None, c.plan.burst)
         elif t.keeper == COUNTER:
             self.owe(c, more)
         elif t.keeper is not None and (more or (over and c.plan.open_limit)):
-            self.mail.post(t.keeper, (DONE, c.index, c.hash, more, over, 0))
+            self.mail.post(t.keeper, (DONE, c.index, c.hash, more, over, t.number))
 
     def owe(self, c: st.Customer, units: float) -> None:
         if units:
             c.pending += units
             self.owing[c.hash] = c
 
-    def ask(self, t: st.Ticket, number: int) -> None:
-        self.held[number] = t
-        self.mail.post(t.keeper, (ASK, t.c.index, t.c.hash, t.r.units, 0, number))
+    def ask(self, t: st.Ticket) -> None:
+        self.held[t.number] = t
+        self.mail.post(t.keeper, (ASK, t.c.index, t.c.hash, t.r.units, 0, t.number))
 
     def call(self, c: st.Customer, units: float, t: st.Ticket | None, now: float) -> i.Count:
         epoch = now // EPOCH_MS
@@ -152,14 +156,15 @@
         for kind, index, key, units, over, number in st.unpack(ENTRY, e.text):
             c, plan = self.customers.get(key), self.s.plans[min(index, len(self.s.plans) - 1)]
             if kind == ASK:
-                told = YES if self.keep(key, plan, units, now) else NO
+                told = YES if self.keep(key, plan, units, now, (e.source, number)) else NO
                 store, share = self.kept[key], plan.rate / (self.kept[key].demand.per_s(now) + 1e-9)
                 self.mail.post(e.source, (told, index, key, store.level, int(min(share, 1) * 255), number))
             elif kind == DONE and key in self.kept:
-                self.kept[key].settle(units, bool(over), plan.burst)
+                self.kept[key].settle(units, (e.source, number) if over else None, plan.burst)
             elif kind in (YES, NO) and c is not None:
                 c.learn(min(units, c.plan.burst), over / 255, now)
                 if (t := self.held.pop(number, None)) is not None:
+                    t.keeper = e.source
                     answered.append((t, kind == YES))
         return answered
 
@@ -383,12 +388,12 @@
         t.keeper = self.quota.keeper(c, t.asks, now)
         t.asks += 1
         if t.keeper == self.s.me:
-            return self.decide(t, self.quota.keep(c.hash, c.plan, units, now))
+            return self.decide(t, self.quota.keep(c.hash, c.plan, units, now, (self.s.me, t.number)))
         if t.keeper is None or now + ASK_MS * len(ASKS) > t.r.not_after_ms:
             return self.decide(t, self.quota.even(t, now))
         if t.keeper == COUNTER:  # needs no timer: a call always ends by itself
             return [self.quota.call(c, units, t, now)]
-        self.quota.ask(t, (self.serial + 1) % 65536)
+        self.quota.ask(t)
         return [self.later(t, -t.asks, ASK_MS)]
 
     def later(self, t: st.Ticket, n: int, after_ms: float) -> i.SetTimer:
@@ -430,7 +435,8 @@
             return [self.refuse(r, self.quota.wait(c, r.units))]
         if (grant := self.room.draw(r.cls, r.units, c.plan.price, now)) is None:
             return [self.refuse(r, self.room.length[r.cls].value)]  # in which the room turns over once
-        t = self.tickets[r.id] = st.Ticket(r, cls, c, grant, now + cls.aim_ms)
+        self.serial += 1
+        t = self.tickets[r.id] = st.Ticket(r, cls, c, grant, now + cls.aim_ms, self.serial % 65536)
         return self.ask(t)
 
     def send(self, t: st.Ticket, b: st.Backend) -> list[i.Action]:
--- a/rushweir/state.py
+++ b/rushweir/state.py
@@ -74,13 +74,6 @@
             self.used[k] = max(0.0, self.used[k] - part)
 
 
-def since_then(times: deque[float], since: float) -> int:
-    """How many of these times are not earlier; earlier ones are dropped."""
-    while times and times[0] < since:
-        times.popleft()
-    return len(times)
-
-
 class Store:
     """A customer's store of units and attempts out, as a keeper holds it or a door was last told."""
 
@@ -88,19 +81,20 @@
 
     def __init__(self, level: float, memory: float, now: float) -> None:
         self.level, self.at, self.demand = level, now, Rate(memory, now)
-        self.out: deque[float] = deque()
+        self.out = dict[tuple[int, int], float]()  # places taken: by which gateway and number, when
 
     def refill(self, rate: float, most: float, now: float) -> None:
         self.level, self.at = min(most, self.level + rate * (now - self.at) / 1000), now
 
     def open(self, since: float) -> int:
         """Attempts out; older ones are forgotten."""
-        return since_then(self.out, since)
+        while self.out and self.out[first := next(iter(self.out))] < since:
+            del self.out[first]
+        return len(self.out)
 
-    def settle(self, more: float, over: bool, most: float) -> None:
+    def settle(self, more: float, over: tuple[int, int] | None, most: float) -> None:
         self.level = min(most, self.level - more)
-        if over and self.out:
-            self.out.popleft()
+        self.out.pop(over, None)
 
 
 class Customer:
@@ -145,7 +139,9 @@
 
     def recent(self, since: float) -> int:
         """Attempts sent since then; earlier ones are forgotten."""
-        return since_then(self.sent, since)
+        while self.sent and self.sent[0] < since:
+            self.sent.popleft()
+        return len(self.sent)
 
 
 def listed(
@@ -164,8 +160,10 @@
 class Ticket:
     """A request that is owed an answer or has attempts out."""
 
-    def __init__(self, r: i.Request, cls: i.RequestClass, c: Customer, grant: list, aim_at: float) -> None:
-        self.r, self.cls, self.c, self.grant, self.aim_at = r, cls, c, grant, aim_at
+    def __init__(
+        self, r: i.Request, cls: i.RequestClass, c: Customer, grant: list, aim_at: float, number: int
+    ) -> None:
+        self.r, self.cls, self.c, self.grant, self.aim_at, self.number = r, cls, c, grant, aim_at, number
         self.inside = self.done = False
         self.keeper: int | None = None  # who was asked, and how often so far
         self.asks = 0
--- a/tests/test_many_doors.py
+++ b/tests/test_many_doors.py
@@ -110,3 +110,18 @@
     assert rid not in net.finals
     (store,) = [s for node in net.nodes for s in node.policy.quota.kept.values()]
     assert store.level + net.n - 1 >= 6.0 - 1e-6
+
+
+def test_end_whose_word_was_lost_costs_a_place_for_a_second_only(wire):
+    """Ends freed the oldest place, so one lost word cost a place for as long as others came (h499d24)."""
+    net = wire(6, 60)
+    quota, plan = net.nodes[0].policy.quota, i.Plan("open", open_limit=2)
+    assert quota.keep(7, plan, 1.0, 0.0, (1, 1))  # its end is never told
+    for k in range(2, 30):
+        now = k * 100.0
+        inside = quota.keep(7, plan, 1.0, now, (2, k))
+        assert inside
+        assert quota.keep(7, plan, 1.0, now, (2, k))  # asked again: the same place
+        assert quota.keep(7, plan, 1.0, now, (3, k)) == (now > 1000.0)
+        for door in (2, 3):
+            quota.kept[7].settle(0.0, (door, k), plan.burst)
