--- a/rushweir/rules.py
+++ b/rushweir/rules.py
@@ -225,8 +225,10 @@
         self.parts.resize(1 + max(ranges.values()), [(ranges[n], f / whole * room) for n, f in f2.items()])
 
     def bank(self, now: float) -> float:
-        """The room not used so far, in units times ms: what a gateway may use beyond B, later. So chance
-        fills no room of one or two, and yet all gateways together have no more in flight than all their B."""
+        """Room not used so far, in units times ms: it pays for what a gateway has in flight beyond B, a request
+        larger than B or chance. All gateways together thus have no more in flight over time than all their B,
+        however many they are (L33b1c1: each added a root). Also guards against a restart of many gateways.
+        Harm: after a long request a gateway with a room below one stays shut for a while."""
         sizes, used = sum(self.parts.sizes), sum(self.parts.used)
         self.credit = min(self.most, self.credit + (sizes - used) * (now - self.at))
         self.credit, self.at = max(self.credit, -MEMORY_MS * self.mean_units), now
@@ -305,7 +307,8 @@
             b.answered = now
         unanswered = e.result in (i.Result.TIMEOUT, i.Result.CANCELLED)  # of a zone or kind this is pressure
         kind, ratio = b.health[-1].slow, min(e.spent_ms / usual, WORST)
-        # A jammed server answers nothing, and would never be found slow by its answers (L33b1c1).
+        # A jammed server answers nothing, and would never be found slow by its answers (L33b1c1). Also for
+        # silent and swallowing ones. Harm: an impatient client makes its server look slower than it is.
         if e.result is i.Result.OK or (unanswered and ratio > kind.value * b.slow):
             b.slow += SLOW_ALPHA * (ratio / kind.value - b.slow)
             kind.learn(ratio, SLOW_ALPHA)
@@ -367,7 +370,9 @@
             return self.ask(t) if t.asks == -n and not t.sends else []
         # Lost: it outlived several usual answers, and its server answered nobody since. Repeated if that can
         # be in time: a server may go on with the first copy, and late repeats jammed a fleet (L33b1c1). Else
-        # its room is free: servers that swallowed half of what they got held three quarters of it.
+        # its room is free: servers that swallowed half of what they got held three quarters of it. Guards
+        # against silent servers, cut links and lost answers too. Harm: a long request of a server that nobody
+        # else tries is sent twice, and where all are jammed alike B counts less than is in work.
         b = self.fleet.servers.get(t.sends[n][0].address)
         if n not in t.out or (b is not None and b.answered >= t.sends[n][1]):
             return []
