--- a/rushweir/rules.py
+++ b/rushweir/rules.py
@@ -226,8 +226,8 @@
 
     def bank(self, now: float) -> float:
         """Room not used so far, in units times ms: it pays for what a gateway has in flight beyond B, for a
-        request larger than B or for chance. So all gateways together have no more in flight over time than all
-        their B, however many they are (L33b1c1: each added a root). Guards restarts of many gateways too.
+        request larger than B or for chance. So all gateways together have no more in flight over time than
+        all their B, however many they are (L33b1c1: each added a root). Guards restarts of many gateways too.
         Harm: after a long request a gateway with a room below one stays shut for a while."""
         sizes, used = sum(self.parts.sizes), sum(self.parts.used)
         self.credit = min(self.most, self.credit + (sizes - used) * (now - self.at))
