--- a/rushweir/rules.py
+++ b/rushweir/rules.py
@@ -249,6 +249,10 @@
             return None
         return parts.draw(order, units)  # an idle gateway with credit takes a request larger than its room
 
+    def wait(self, name: str, units: float) -> float:
+        """Advice: in what time so much room is given back at the present pace; one time in flight at most."""
+        return self.length[name].value * min(1.0, units / max(1e-9, sum(self.parts.used)))
+
 
 class Fleet:
     """The list of servers, slow start, health and the choice among them."""
@@ -439,7 +443,7 @@
         if c.ceiling < r.units or (self.quota.vain(c, r.units, now) and not self.soft(c)):
             return [self.refuse(r, self.quota.wait(c, r.units))]
         if (grant := self.room.draw(r.cls, r.units, c.plan.price, now)) is None:
-            return [self.refuse(r, self.room.length[r.cls].value)]  # in which the room turns over once
+            return [self.refuse(r, self.room.wait(r.cls, r.units))]
         self.serial += 1
         t = self.tickets[r.id] = st.Ticket(r, cls, c, grant, now + cls.aim_ms, self.serial % 65536)
         return self.ask(t)
@@ -480,7 +484,7 @@
                 return self.send(t, b)
         self.end(t)
         harmless = t.ran is None or cls.effect is i.Effect.SAFE or (keyed and cls.group is i.Group.ALL)
-        wait = self.room.length[t.r.cls].value
+        wait = self.room.wait(t.r.cls, t.r.units)
         return [self.refuse(t.r, wait) if harmless and now < t.r.not_after_ms else i.Fail(t.r.id)]
 
     def may_go(self, t: st.Ticket, e: i.Server) -> bool:
--- a/tests/test_found.py
+++ b/tests/test_found.py
@@ -172,4 +172,6 @@
     assert isinstance(gateway.ask()[1], i.Refuse)
     gateway.list(*(i.Server(f"s{k}") for k in range(2)))
     answers = [gateway.ask()[1] for _ in range(60)]
-    assert any(isinstance(a, i.Refuse) for a in answers)
+    advice = [a.stay_away_ms for a in answers if isinstance(a, i.Refuse)]
+    assert len(advice) > 30
+    assert all(0 < ms <= 200.0 for ms in advice)  # the time in flight of its class at most
