--- a/rushweir/rules.py
+++ b/rushweir/rules.py
@@ -21,7 +21,7 @@
 ASK, DONE, YES, NO, COUNTER = 0, 1, 2, 3, -1
 AIM_PART = 0.4  # of the aim to be in flight on average: the slow half and the unevenness need the rest
 POPULAR_MS, PRIOR = 15000.0, 2.0  # window of popularity; units added for each class against noise
-START_ATTEMPTS, SPREAD = 4.0, 1.0  # per ready server, of all gateways; of its root more, out of credit
+START_RATE, SPREAD = 12.0, 1.0  # finished by a ready server in a second, presumed; of B's root more, banked
 PRESSED_MS, PRESSED_PART = 2000.0, 0.1  # life of signs of pressure; their part of outcomes and 5 good ones
 KEEP_PART, SOFT_PART = 0.5, 0.35  # of the room: closed to worthless work, open to work beyond quotas
 LENGTH_ALPHA, SLOW_ALPHA, VALUE_ALPHA = 0.05, 0.1, 0.02  # least weight of a sample in each running mean
@@ -217,9 +217,9 @@
         f2 = {n: (r.total(now) + PRIOR) * self.length[n].value for n, r in self.asked.items()}
         ranges, whole = {n: self.range_of(n) for n in f2}, sum(f2.values())
         aim = sum(f2[n] * self.classes[n].aim_ms for n in f2) / whole / 1000
-        low = START_ATTEMPTS * self.mean_units * max(1, ready) / self.s.gateways
-        pressed, done = self.pressed(now), self.finished.per_s(now) * aim * AIM_PART
-        room = max(low / 2 if pressed else low, done)
+        start = START_RATE * self.mean_units * max(1, ready) / self.s.gateways
+        pressed, done = self.pressed(now), self.finished.per_s(now)
+        room = max(start / 2 if pressed else start, done) * aim * AIM_PART
         self.bank(now)
         self.most = room * aim * 1000
         self.parts.resize(1 + max(ranges.values()), [(ranges[n], f / whole * room) for n, f in f2.items()])
