--- a/rushweir/rules.py
+++ b/rushweir/rules.py
@@ -92,10 +92,11 @@
         customer a place for as long as it kept asking (h499d24). A question asked again takes nothing."""
         store = self.kept.setdefault(key, st.Store(plan.burst, MEMORY_MS, now))
         store.refill(plan.rate, plan.burst, now)
-        full = 0 < plan.open_limit <= store.open(now - SILENT_MS)
+        taken = store.open(now - SILENT_MS)
         if who in store.out:
             return True
         store.demand.add(units, now)
+        full = 0 < plan.open_limit <= taken
         inside = not full and (not plan.rate or store.level >= units)
         if inside:
             store.level -= units
@@ -328,7 +329,8 @@
         if not (settings.classes and settings.plans and 0 <= settings.me < settings.gateways):
             raise ValueError("settings need classes, plans and a gateway number below the count")
         rng = random.Random(seed)
-        self.s, self.now, self.retries = settings, now_ms, 1 + RETRY_MOST / settings.gateways
+        self.s, self.now = settings, now_ms
+        self.retries = self.most_retries = 1 + RETRY_MOST / settings.gateways
         self.quota, self.room = Quota(settings, rng, now_ms), Room(settings, now_ms)
         self.fleet, self.tickets = Fleet(settings, rng, now_ms), dict[str, st.Ticket]()
         self.checks, self.serial = dict[int, tuple[str, int]](), rng.randrange(2, 65536)
@@ -463,7 +465,7 @@
             return []
         t.back(e.attempt)
         if e.result is i.Result.OK and now < t.aim_at:
-            self.retries = min(1 + RETRY_MOST / self.s.gateways, self.retries + RETRY_PART)
+            self.retries = min(self.most_retries, self.retries + RETRY_PART)
         if not self.fleet.done(e, self.room.length[t.r.cls].value, now):
             self.room.observe(t.r.cls, e, t.r.units, now)
         if not e.result.never_ran and t.ran is None:
--- a/tests/test_many_doors.py
+++ b/tests/test_many_doors.py
@@ -125,3 +125,11 @@
         assert quota.keep(7, plan, 1.0, now, (3, k)) == (now > 1000.0)
         for door in (2, 3):
             quota.kept[7].settle(0.0, (door, k), plan.burst)
+
+
+def test_places_of_a_plan_without_a_limit_at_once_are_forgotten_too(make):
+    """They were pruned only where a limit was looked up, and grew with the traffic."""
+    quota, plan = make().policy.quota, i.Plan("rated", rate=1000.0, burst=1000.0)
+    for k in range(500):
+        assert quota.keep(7, plan, 1.0, k * 100.0, (1, k))
+    assert len(quota.kept[7].out) <= 12
