--- /dev/null
+++ b/rushweir/config/load.py
@@ -0,0 +1,274 @@
+"""From a settings file to what an ingress is made of. Every problem is told with file, line and column."""
+
+from __future__ import annotations
+
+import os
+import stat
+from dataclasses import dataclass
+from pathlib import Path
+from types import UnionType
+from typing import Any, get_args, get_origin
+
+from pydantic import BaseModel, ValidationError
+
+from rushweir import interface as i
+from rushweir.config import models as m
+from rushweir.config.text import ConfigError, Directive, Problem, Spot, parse
+from rushweir.fronts.credentials import Credentials
+from rushweir.fronts.websocket import FrontSettings
+from rushweir.ingress.core import Setup
+from rushweir.ingress.engine import Partner
+from rushweir.nodes.pool import PoolSettings
+
+NAMED = {"class": "classes", "plan": "plans", "partner": "partners"}  # blocks that stand once for each name
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    """Settings, checked."""
+
+    file: m.File
+    base: Path  # what paths in it are relative to
+    peer_key: bytes | None = None
+
+    @property
+    def listen(self) -> tuple[str, int]:
+        return self.file.listen
+
+    @property
+    def state(self) -> Path | None:
+        return self.base / self.file.state if self.file.state else None
+
+    def settings(self) -> i.Settings:
+        """The settings of the policy."""
+        f, me, count = self.file, *self.file.ingress
+        return i.Settings(
+            me=me,
+            gateways=count,
+            zone=f.zone,
+            classes=tuple(
+                i.RequestClass(
+                    name, k.aim, k.deadline, k.worth, k.late_share, i.Effect(k.repeat), i.Group(k.group), k.window
+                )
+                for name, k in f.classes.items()
+            ),
+            plans=tuple(
+                i.Plan(
+                    name, p.rate, p.burst, p.open, p.ceiling_rate, p.ceiling_burst, p.ceiling_slack, p.price,
+                    p.over_worth, p.over_cost,
+                )
+                for name, p in f.plans.items()
+            ),
+            rules=i.Rules(
+                f.rules.answer_slack, f.rules.drain_grace, f.rules.cold_share, f.rules.cold_time,
+                f.rules.fall_multiple, f.rules.fall_time,
+            ),
+            limits=i.Limits(
+                f.limits.attempts, f.limits.open, f.limits.retry_after, f.limits.second_copies, f.limits.cancel,
+                f.limits.probes, f.limits.retry_after > 0,
+            ),
+            sharing=i.Sharing(
+                peers=f.peers is not None, messages_per_s=f.peers.rate if f.peers else 0.0,
+                counter=f.counter is not None, counter_timeout_ms=f.counter.timeout if f.counter else 0.0,
+                meter_ms=f.meter, largest_request=f.limits.largest_request, settles=f.settles,
+            ),
+            prices={"crossZone": f.prices.cross_zone},
+            weights=f.nodes.weights,
+            ask_discovery=f.list.mode == "ask",
+        )  # fmt: skip
+
+    def setup(self, seed: int = 0, boot: str = "") -> Setup:
+        """All that makes the ingress, but for its policy."""
+        f = self.file
+        count = f.ingress[1]
+        by_digest = {
+            p.credential: Partner(name, p.plan, p.through[1] or count, p.through[0])
+            for name, p in f.partners.items()
+        }
+        return Setup(
+            settings=self.settings(),
+            front=FrontSettings(
+                f.path, f.clients.message, f.clients.batch, f.clients.open, f.clients.buffer,
+                f.limits.largest_request,
+            ),
+            pool=PoolSettings(
+                f.nodes.streams, f.nodes.connections, f.nodes.connect_timeout, f.nodes.idle, f.nodes.ping,
+                f.nodes.probe_timeout, f.rules.drain_grace, path=f.nodes.path,
+            ),
+            credentials=Credentials(by_digest),
+            margin_ms=f.clients.margin,
+            handshake_ms=f.clients.handshake,
+            ping_ms=f.clients.ping,
+            peer_key=self.peer_key,
+            list_url=f.list.url,
+            counter_url=f.counter.url if f.counter else "",
+            seed=seed,
+            boot=boot,
+            most_clients=f.clients.connections,
+        )  # fmt: skip
+
+
+def load(path: Path) -> Config:
+    """Read a settings file. Raises ConfigError, also where it can't be read."""
+    try:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as problem:
+        raise ConfigError([Problem(Spot(str(path), 1, 1), f"can't be read: {problem}")]) from None
+    return load_text(text, str(path), path.parent)
+
+
+def load_text(text: str, name: str, base: Path) -> Config:
+    directives = parse(text, name)
+    lines = {name: text.splitlines()}
+    problems: list[Problem] = []
+    spots: dict[tuple, Spot] = {}
+    raw = _block(m.File, directives, (), spots, problems, top=True)
+    file: m.File | None = None
+    try:
+        file = m.File.model_validate(raw)
+    except ValidationError as bad:
+        for e in bad.errors():
+            problems.append(_problem(e, spots, Spot(name, 1, 1), problems))
+    if file is not None:
+        problems += _across(file, spots)
+    key = _key(file.peers, base, spots, problems) if file is not None and file.peers else None
+    if problems or file is None:
+        raise ConfigError(list(dict.fromkeys(p for p in problems if p.text)), lines)
+    return Config(file, base, key)
+
+
+def _block(
+    model: type[BaseModel],
+    directives: list[Directive],
+    where: tuple,
+    spots: dict[tuple, Spot],
+    problems: list[Problem],
+    top: bool = False,
+) -> dict[str, Any]:
+    """The raw values of a block by field, with the place of each noted under its path."""
+    raw: dict[str, Any] = {}
+    for d in directives:
+        if top and d.name in NAMED:
+            _named(model, d, where, raw, spots, problems)
+            continue
+        name = d.name.replace("-", "_")
+        if name not in model.model_fields or "_" in d.name or name in NAMED.values():
+            near = ", ".join(sorted(f.replace("_", "-") for f in model.model_fields if f not in NAMED.values()))
+            problems.append(Problem(d.spot, f"{d.name}: not known here; known are {near}"))
+            continue
+        path = (*where, name)
+        kind = model.model_fields[name].annotation
+        several = name == "peer"
+        if path in spots and not several:
+            problems.append(Problem(d.spot, f"{d.name}: stands twice, first in line {spots[path].line}"))
+            continue
+        spots[path] = d.spot
+        for k in range(len(d.values)):
+            spots[(*path, k)] = d.at(k)
+        inner = _model(kind)
+        if inner is not None:
+            if d.inner is None or d.values:
+                problems.append(Problem(d.spot, f"{d.name}: a block is expected, {d.name} {{ ... }}"))
+                raw[name] = {}
+            else:
+                raw[name] = _block(inner, d.inner, path, spots, problems)
+        elif d.inner is not None:
+            problems.append(Problem(d.spot, f"{d.name}: takes no block"))
+        elif several:
+            spots[(*path, len(raw.get(name, ())))] = d.spot
+            raw[name] = (*raw.get(name, ()), tuple(v.text for v in d.values))
+        elif get_origin(kind) is tuple and not model.model_fields[name].metadata:
+            raw[name] = tuple(v.text for v in d.values)
+        elif len(d.values) != 1:
+            problems.append(Problem(d.spot, f"{d.name}: one value is expected, not {len(d.values)}"))
+        else:
+            raw[name] = d.values[0].text
+            spots[path] = d.at(0)
+    return raw
+
+
+def _named(
+    model: type[BaseModel], d: Directive, where: tuple, raw: dict[str, Any], spots: dict[tuple, Spot],
+    problems: list[Problem],
+) -> None:  # fmt: skip
+    group = NAMED[d.name]
+    if len(d.values) != 1 or d.inner is None:
+        problems.append(Problem(d.spot, f"{d.name}: a name and a block are expected, {d.name} NAME {{ ... }}"))
+        return
+    name = d.values[0].text
+    path = (*where, group, name)
+    if path in spots:
+        problems.append(Problem(d.at(0), f"{d.name} {name}: stands twice, first in line {spots[path].line}"))
+        return
+    spots[path] = d.at(0)
+    inner = get_args(model.model_fields[group].annotation)[1]
+    raw.setdefault(group, {})[name] = _block(inner, d.inner, path, spots, problems)
+
+
+def _model(kind: Any) -> type[BaseModel] | None:
+    options = get_args(kind) if get_origin(kind) is UnionType else (kind,)
+    return next((k for k in options if isinstance(k, type) and issubclass(k, BaseModel)), None)
+
+
+def _problem(e: Any, spots: dict[tuple, Spot], start: Spot, found: list[Problem]) -> Problem:
+    """A model's complaint at the place that it is about: the longest part of its path that was seen."""
+    path = tuple(x for x in e["loc"] if x != "[key]")
+    seen = path
+    while seen and seen not in spots:
+        seen = seen[:-1]
+    spot = spots.get(seen, start)
+    name = " ".join(str(x).replace("_", "-") for x in path if not isinstance(x, int)) or "the file"
+    text = e["msg"].removeprefix("Value error, ")
+    if e["type"] == "missing":
+        # Where a directive of that name was refused already, that it is missing is no news.
+        last = str(path[-1]).replace("_", "-")
+        if any(p.spot.file == start.file and p.text.startswith(f"{last}: ") for p in found):
+            return Problem(spot, "")
+        text = "is missing"
+    elif e["type"] == "value_error":
+        text = f"expected {text}" if not text.startswith(("aim", "window", "burst", "ceiling")) else text
+    return Problem(spot, f"{name}: {text}")
+
+
+def _across(f: m.File, spots: dict[tuple, Spot]) -> list[Problem]:
+    """What one block must not say of another."""
+    out, (me, count) = [], f.ingress
+    if me >= count:
+        out.append(Problem(spots[("ingress",)], f"ingress: number {me} of {count}: numbers begin at 0"))
+    if not f.classes or not f.plans:
+        out.append(Problem(spots.get(("classes",), Spot("", 1, 1)), "a class and a plan are needed"))
+    digests: dict[str, str] = {}
+    for name, p in f.partners.items():
+        path = ("partners", name)
+        if p.plan not in f.plans:
+            known = ", ".join(f.plans)
+            out.append(Problem(spots[(*path, "plan")], f"partner {name}: no plan {p.plan!r}; known are {known}"))
+        if p.through[0] >= count or p.through[1] > count:
+            out.append(Problem(spots[(*path, "through")], f"partner {name}: through: {count} ingresses there are"))
+        if (other := digests.setdefault(p.credential, name)) != name:
+            out.append(
+                Problem(spots[(*path, "credential")], f"partner {name}: the credential is that of {other}")
+            )
+    for k, (number, _) in enumerate(f.peers.peer if f.peers else ()):
+        if number >= count or number == me:
+            out.append(Problem(spots[("peers", "peer", k)], f"peer {number}: no such peer of ingress {me}"))
+    return out
+
+
+def _key(peers: m.PeersBlock, base: Path, spots: dict, problems: list[Problem]) -> bytes | None:
+    """A secret from its file, which nobody else may read."""
+    spot, path = spots[("peers", "key_file")], base / peers.key_file
+    try:
+        with open(path, "rb") as file:
+            mode = os.fstat(file.fileno()).st_mode
+            if mode & (stat.S_IRWXG | stat.S_IRWXO):
+                problems.append(Problem(spot, f"key-file: {path} can be read by others; chmod 600 is needed"))
+                return None
+            key = file.read(4096).strip()
+    except OSError as problem:
+        problems.append(Problem(spot, f"key-file: {problem}"))
+        return None
+    if len(key) < 16:
+        problems.append(Problem(spot, "key-file: 16 bytes at least"))
+        return None
+    return key
--- /dev/null
+++ b/rushweir/config/models.py
@@ -0,0 +1,152 @@
+"""What may stand in a settings file: a typed model for each block. A field is a directive of the same name,
+with ``-`` for ``_``; a tuple takes several words; docs/settings.md describes each."""
+
+from __future__ import annotations
+
+from typing import Annotated, Literal
+
+from pydantic import BaseModel, ConfigDict, Field, model_validator
+
+from rushweir.config.values import Address, Duration, Number, Rate, Size, Switch, WebAddress, Whole
+
+Name = Annotated[str, Field(min_length=1, max_length=128, pattern=r"^[^\x00-\x1f\x7f]+$")]
+Share = Annotated[Number, Field(ge=0, le=1)]
+
+
+class Block(BaseModel):
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+
+class ClassBlock(Block):
+    """``class NAME``: requests of one kind."""
+
+    aim: Duration
+    deadline: Duration
+    worth: Number = 1.0
+    late_share: Share = 0.0
+    repeat: Literal["safe", "keyed", "unsafe"] = "unsafe"
+    group: Literal["all", "zone", "cell"] = "all"
+    window: Duration = 0.0
+
+    @model_validator(mode="after")
+    def _fits(self) -> ClassBlock:
+        if self.aim <= 0 or self.deadline < self.aim:
+            raise ValueError("aim: above 0 and no later than the deadline")
+        if self.repeat == "keyed" and self.window <= 0:
+            raise ValueError("window: a keyed class needs the time for which its nodes drop repeats")
+        return self
+
+
+class PlanBlock(Block):
+    """``plan NAME``: quotas of each partner of the plan, over all ingresses."""
+
+    rate: Rate = 0.0
+    burst: Number = 0.0
+    open: Whole = 0
+    ceiling_rate: Rate = 0.0
+    ceiling_burst: Number = 0.0
+    ceiling_slack: Number = 0.0
+    price: Number = 1.0
+    over_worth: Number = 0.0
+    over_cost: Number = 0.0
+
+    @model_validator(mode="after")
+    def _fits(self) -> PlanBlock:
+        if self.rate and not self.burst:
+            raise ValueError("burst: a plan with a rate needs one")
+        if self.ceiling_rate and not self.ceiling_burst:
+            raise ValueError("ceiling-burst: a plan with a ceiling needs one")
+        return self
+
+
+class PartnerBlock(Block):
+    """``partner NAME``: who it is, and what it may use."""
+
+    plan: Name
+    credential: Annotated[str, Field(pattern=r"^sha256:[0-9a-f]{64}$")]
+    through: tuple[Whole, Whole] = (0, 0)  # the first ingress, and how many from it on; 0 0: all
+
+
+class RulesBlock(Block):
+    drain_grace: Duration = 1000.0
+    cold_share: Share = 1.0
+    cold_time: Duration = 0.0
+    fall_multiple: Number = 1.0
+    fall_time: Duration = 0.0
+    answer_slack: Duration = 0.0
+
+
+class LimitsBlock(Block):
+    attempts: Annotated[Whole, Field(ge=1)] = 1
+    open: Annotated[Whole, Field(ge=1)] = 20_000
+    retry_after: Duration = 0.0
+    second_copies: Switch = False
+    cancel: Switch = True
+    probes: Switch = False
+    largest_request: Annotated[Number, Field(gt=0)] = 1.0
+
+
+class ClientsBlock(Block):
+    message: Size = 262_144
+    batch: Annotated[Whole, Field(ge=1)] = 1000
+    open: Annotated[Whole, Field(ge=1)] = 1024
+    buffer: Size = 1_048_576
+    connections: Annotated[Whole, Field(ge=1)] = 20_000
+    handshake: Duration = 5_000.0
+    ping: Duration = 30_000.0
+    margin: Duration = 25.0
+
+
+class NodesBlock(Block):
+    streams: Annotated[Whole, Field(ge=1)] = 32
+    connections: Annotated[Whole, Field(ge=1)] = 8
+    connect_timeout: Duration = 250.0
+    idle: Duration = 15_000.0
+    ping: Duration = 5_000.0
+    probe_timeout: Duration = 250.0
+    weights: Literal["off", "nominal", "rough", "live"] = "off"
+    path: Annotated[str, Field(pattern=r"^/\S*$")] = "/node"
+
+
+class PeersBlock(Block):
+    bind: Address
+    key_file: str
+    rate: Rate = 60.0
+    peer: tuple[tuple[Whole, Address], ...] = ()
+
+
+class ListBlock(Block):
+    url: WebAddress
+    mode: Literal["push", "ask"] = "push"
+
+
+class CounterBlock(Block):
+    url: WebAddress
+    timeout: Duration = 50.0
+
+
+class PricesBlock(Block):
+    cross_zone: Number = 0.0
+
+
+class File(Block):
+    """A whole settings file."""
+
+    ingress: tuple[Whole, Whole]  # its number, and how many there are
+    zone: Name
+    listen: Address
+    path: Annotated[str, Field(pattern=r"^/\S*$")] = "/"
+    state: str = ""  # a folder; nothing is kept without one
+    settles: Switch = False
+    meter: Duration = 0.0
+    list: ListBlock
+    peers: PeersBlock | None = None
+    counter: CounterBlock | None = None
+    rules: RulesBlock = RulesBlock()
+    limits: LimitsBlock = LimitsBlock()
+    clients: ClientsBlock = ClientsBlock()
+    nodes: NodesBlock = NodesBlock()
+    prices: PricesBlock = PricesBlock()
+    classes: dict[Name, ClassBlock]
+    plans: dict[Name, PlanBlock]
+    partners: dict[Name, PartnerBlock] = {}
--- /dev/null
+++ b/rushweir/counter/__init__.py
@@ -0,0 +1,1 @@
+"""The shared counter, as an ingress calls it. No I/O."""
--- /dev/null
+++ b/rushweir/fronts/__init__.py
@@ -0,0 +1,1 @@
+"""Client protocols, without I/O. A front understands what a client says and words the engine's answers."""
--- /dev/null
+++ b/rushweir/ingress/__init__.py
@@ -0,0 +1,1 @@
+"""The ingress: a sans-I/O engine that drives the decisions, and the asyncio shell that carries them out."""
--- /dev/null
+++ b/rushweir/ingress/commands.py
@@ -0,0 +1,161 @@
+"""What the engine and the core ask of those who carry it out. Plain records; times in milliseconds."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Any
+
+from rushweir import interface as i
+
+# --- the engine to the core -----------------------------------------------------------------------
+
+
+@dataclass(slots=True)
+class Attempt:
+    """One attempt of a request, from the policy's Send to its one Outcome."""
+
+    rid: str
+    number: int
+    server: str
+    sent_ms: float
+    until_ms: float
+    payload: dict[str, Any]
+    method: str
+    ended: bool = False
+
+
+@dataclass(slots=True)
+class SendAttempt:
+    attempt: Attempt
+
+
+@dataclass(slots=True)
+class CancelAttempt:
+    attempt: Attempt
+
+
+@dataclass(slots=True)
+class ExpireAttempt:
+    """Its time is up: nothing of it may be written any more, and what comes back is late."""
+
+    attempt: Attempt
+
+
+@dataclass(slots=True)
+class Answer:
+    """The one final answer of a request, for the connection it came by."""
+
+    conn: int
+    ref: Any
+    kind: Kind
+    body: Any = None  # the node's result, or its error object
+    why: str = ""
+    retry_after_ms: float = 0.0
+    took_ms: float = 0.0
+
+
+class Kind:
+    """Kinds of final answers. (Plain text instead of an Enum: compared on each answer, and logged.)"""
+
+    SERVED = "served"
+    REFUSED = "refused"  # not done; trying again is harmless
+    FAILED = "failed"  # promises nothing
+
+
+@dataclass(slots=True)
+class TellPeer:
+    to: int | None
+    text: str
+
+
+@dataclass(slots=True)
+class CallCounter:
+    name: int
+    amount: float
+    forget_after_ms: float
+
+
+@dataclass(slots=True)
+class ProbeNode:
+    server: str
+
+
+@dataclass(slots=True)
+class WatchList:
+    on: bool
+
+
+@dataclass(slots=True)
+class FetchList:
+    pass
+
+
+@dataclass(slots=True)
+class Remark:
+    """A line for the log. ``cause`` is fixed text, so that lines of one cause can be counted and limited."""
+
+    level: str
+    cause: str
+    fields: dict[str, Any] = field(default_factory=dict)
+
+
+# --- the core to the shell ------------------------------------------------------------------------
+
+
+@dataclass(slots=True)
+class Dial:
+    """Open a connection; ends in ``dialed`` or ``dial_failed``."""
+
+    conn: int
+    host: str
+    port: int
+    timeout_ms: float
+
+
+@dataclass(slots=True)
+class Write:
+    conn: int
+    data: bytes
+
+
+@dataclass(slots=True)
+class CloseConn:
+    """Write out what is queued, then end the connection; within ``within_ms``, else abort it."""
+
+    conn: int
+    within_ms: float = 1000.0
+
+
+@dataclass(slots=True)
+class AbortConn:
+    conn: int
+
+
+@dataclass(slots=True)
+class PauseReading:
+    conn: int
+    pause: bool
+
+
+@dataclass(slots=True)
+class Datagram:
+    peer: int
+    data: bytes
+
+
+@dataclass(slots=True)
+class SaveList:
+    data: bytes
+
+
+Command = (
+    SendAttempt | CancelAttempt | ExpireAttempt | Answer | TellPeer | CallCounter | ProbeNode
+    | WatchList | FetchList | Remark
+)  # fmt: skip
+Order = Dial | Write | CloseConn | AbortConn | PauseReading | Datagram | SaveList | Remark
+
+__all__ = [
+    "AbortConn", "Answer", "Attempt", "CallCounter", "CancelAttempt", "CloseConn", "Command", "Datagram",
+    "Dial", "ExpireAttempt", "FetchList", "Kind", "Order", "PauseReading", "ProbeNode", "Remark", "SaveList",
+    "SendAttempt", "TellPeer", "WatchList", "Write", "i",
+]  # fmt: skip
--- /dev/null
+++ b/rushweir/ingress/core.py
@@ -0,0 +1,430 @@
+"""A whole ingress without I/O: connections, datagrams and time in, orders for a shell out.
+
+It joins the front's connections, the engine, the pool of nodes, the node list, the peers and the counter.
+Nothing here waits, reads a clock or opens anything, so that an ingress runs on sockets (shell.py), and as
+well in simulated time. Equal calls in equal order give equal orders.
+
+Connections are numbers. Those of clients are announced by ``accepted``; those to nodes and services are
+named in a Dial order and end in ``dialed`` or ``dial_failed``.
+"""
+
+from __future__ import annotations
+
+from collections import Counter, deque
+from dataclasses import dataclass, field
+from typing import Any
+
+from websockets.frames import CloseCode
+
+from rushweir import interface as i
+from rushweir.counter.client import CounterClient
+from rushweir.discovery import kept
+from rushweir.discovery.pushed import PushedList
+from rushweir.discovery.source import Update, UpdateError, apply
+from rushweir.fronts.credentials import Credentials
+from rushweir.fronts.websocket import CLOSING, HEAD, HTTP, ClientConnection, FrontSettings
+from rushweir.ingress import commands as c
+from rushweir.ingress.engine import Decides, Engine
+from rushweir.link.upstream import Upstream
+from rushweir.nodes.pool import Ended, Pool, PoolSettings
+from rushweir.peers.datagram import Peers
+
+MOST_CLIENTS = 20_000  # connections of clients: beyond, one is answered 503 and closed
+
+
+@dataclass(frozen=True, slots=True)
+class Setup:
+    """All that makes an ingress, but for its policy's settings."""
+
+    settings: i.Settings
+    front: FrontSettings = field(default_factory=FrontSettings)
+    pool: PoolSettings = field(default_factory=PoolSettings)
+    credentials: Credentials = field(default_factory=lambda: Credentials({}))
+    margin_ms: float = 25.0  # an answer leaves this long before the client's time is up
+    handshake_ms: float = 5_000.0  # for a client's request head
+    ping_ms: float = 30_000.0  # a client heard of for so long is asked whether it is there; twice: dropped
+    http_idle_ms: float = 15_000.0
+    peer_key: bytes | None = None
+    list_url: str = ""
+    counter_url: str = ""
+    seed: int = 0
+    boot: str = ""
+    most_clients: int = MOST_CLIENTS
+
+
+@dataclass(slots=True)
+class Client:
+    """A client's connection, and what of it is the core's affair."""
+
+    conn: int
+    front: ClientConnection
+    since: float
+    heard: int = 0
+    asked: bool = False  # a ping is out
+    held: bool = False  # reading is paused: the client does not take its answers
+    ended: bool = False
+
+
+class Core:
+    """One ingress. Take the orders from ``orders`` after each call and carry them out in order."""
+
+    def __init__(self, setup: Setup, policy: Decides, now: float) -> None:
+        self.setup, self.now = setup, now
+        s = setup.settings
+        self.engine = Engine(s, policy, now, margin_ms=setup.margin_ms, boot=setup.boot)
+        self.orders: deque[c.Order] = deque()
+        self.clients: dict[int, Client] = {}
+        self.ups: dict[int, Any] = {}  # who handles a connection that this side opened
+        self.next_conn = 0
+        self.counts: Counter[str] = Counter()
+        self.stopping = False
+        headers = {"User-Agent": f"rushweir ingress={s.me} zone={s.zone}"}
+        self.pool = Pool(setup.pool, headers, self._new_conn, self.engine.at)
+        self.list = None
+        if setup.list_url:
+            self.list = PushedList(
+                setup.list_url, headers, setup.seed, self._new_conn, self.engine.at, not s.ask_discovery
+            )
+        self.counter = None
+        if setup.counter_url:
+            self.counter = CounterClient(
+                setup.counter_url, headers, setup.seed, s.sharing.counter_timeout_ms or 50.0, self._new_conn,
+                self.engine.at,
+            )  # fmt: skip
+        self.peers = Peers(s.me, s.gateways, setup.peer_key) if setup.peer_key else None
+        self.held: dict[str, i.Server] = {}
+        self.listed_at: float | None = None  # when the last good update was read
+        self.carry = {
+            c.SendAttempt: lambda x: self.pool.send(self.now, x.attempt),
+            c.CancelAttempt: lambda x: self.pool.cancel(self.now, x.attempt),
+            c.ExpireAttempt: lambda x: self.pool.expire(self.now, x.attempt),
+            c.Answer: self._answer,
+            c.TellPeer: self._tell_peer,
+            c.CallCounter: self._call_counter,
+            c.ProbeNode: lambda x: self.pool.probe(self.now, x.server),
+            c.WatchList: lambda x: self.list.watch(self.now, x.on) if self.list else self._no_list(),
+            c.FetchList: lambda x: self.list.fetch(self.now) if self.list else self._no_list(),
+            c.Remark: self.orders.append,
+        }
+
+    # --- time ------------------------------------------------------------------------------------
+
+    def start(self, now: float, last_list: bytes | None = None) -> None:
+        """Begin, with the list as it was kept on disk, if there is one."""
+        self._at(now)
+        self.engine.start(now)
+        if last_list is not None:
+            try:
+                servers = kept.load(last_list)
+            except UpdateError as problem:
+                self.orders.append(c.Remark("error", "kept_list_refused", {"why": str(problem)}))
+            else:
+                self._take_update(Update(i.Scope.CACHED, -1, servers))
+        for service in (self.list, self.counter):
+            if service is not None:
+                service.link.start(now)
+        self._run()
+
+    def next_at(self) -> float | None:
+        return self.engine.next_at()
+
+    def advance(self, now: float) -> None:
+        self._at(now)
+        self.engine.advance(now)
+        self._run()
+
+    def _at(self, now: float) -> None:
+        self.now = self.engine.now = self.pool.now = now
+        for service in (self.list, self.counter):
+            if service is not None:
+                service.link.now = now
+
+    # --- clients ---------------------------------------------------------------------------------
+
+    def accepted(self, now: float) -> int:
+        """A client connected; returns the connection's number."""
+        self._at(now)
+        conn = self._new_conn(None)
+        front = ClientConnection(self.setup.front, lambda: self.setup.credentials, self.health)
+        client = self.clients[conn] = Client(conn, front, now)
+        self.counts["accepted"] += 1
+        if self.stopping or len(self.clients) > self.setup.most_clients:
+            self.counts["turned_away"] += 1
+            front.turn_away()
+            self._flush(client)
+            self._run()
+        else:
+            self.engine.at(now + self.setup.handshake_ms, self._head_late, client)
+        return conn
+
+    def received(self, now: float, conn: int, data: bytes) -> None:
+        """Bytes came on any connection."""
+        self._at(now)
+        client = self.clients.get(conn)
+        if client is None:
+            handler = self.ups.get(conn)
+            if handler is not None:
+                handler.received(now, conn, data)
+        elif not client.ended:
+            was_head = client.front.state is HEAD
+            for ref, ask in client.front.receive(data):
+                assert client.front.partner is not None
+                self.engine.request(now, conn, ref, client.front.partner, ask)
+                self._run()
+            if was_head and client.front.state is not HEAD:
+                self._head_done(client)
+            client.heard += 1
+            client.asked = False
+            self._flush(client)
+        self._run()
+
+    def ended(self, now: float, conn: int) -> None:
+        """The other side ended its writing, or the connection broke."""
+        self._at(now)
+        client = self.clients.pop(conn, None)
+        if client is not None:
+            client.ended = True
+            client.front.receive_eof()
+            if left := self.engine.client_left(now, conn):
+                self.counts["left_open"] += left
+            self.orders.append(c.CloseConn(conn, 200.0))
+        else:
+            handler = self.ups.pop(conn, None)
+            if handler is not None:
+                handler.lost(now, conn)
+        self._run()
+
+    def congested(self, now: float, conn: int, size: int) -> None:
+        """Bytes wait to be written on a connection, ``size`` of them."""
+        self._at(now)
+        client = self.clients.get(conn)
+        if client is None:
+            if (handler := self.ups.get(conn)) is not None:
+                handler.congested(conn)
+            return
+        if size > self.setup.front.buffer:
+            # It asks and never reads: its answers would fill the memory that others need.
+            self.counts["unread"] += 1
+            self._drop(client, CloseCode.POLICY_VIOLATION, "answers are not read")
+        elif not client.held:
+            client.held = True
+            self.orders.append(c.PauseReading(conn, True))
+        self._run()
+
+    def drained(self, now: float, conn: int) -> None:
+        self._at(now)
+        client = self.clients.get(conn)
+        if client is not None:
+            if client.held:
+                client.held = False
+                self.orders.append(c.PauseReading(conn, False))
+        elif (handler := self.ups.get(conn)) is not None:
+            handler.drained(now, conn)
+        self._run()
+
+    def _drop(self, client: Client, code: int, reason: str) -> None:
+        client.front.fail(code, reason)
+        self._flush(client)
+        if not client.ended:
+            client.ended = True
+            self.orders.append(c.CloseConn(client.conn, 1000.0))
+        self.engine.client_left(self.now, client.conn)
+
+    def _head_late(self, client: Client) -> None:
+        if client.front.state is HEAD and not client.ended and client.conn in self.clients:
+            self.counts["slow_handshakes"] += 1
+            client.front.time_out()
+            self._flush(client)
+
+    def _head_done(self, client: Client) -> None:
+        idle = self.setup.http_idle_ms if client.front.state is HTTP else self.setup.ping_ms
+        self.engine.at(self.now + idle, self._idle, (client, client.heard, idle))
+
+    def _idle(self, what: tuple[Client, int, float]) -> None:
+        """A client that was silent for a while is asked whether it is there; without any word it is dropped:
+        a hotel desk that lost its line sends no end, and would hold its connection for days."""
+        client, heard, idle = what
+        if client.ended or client.conn not in self.clients:
+            return
+        if client.heard == heard:
+            if client.front.state in (HTTP, CLOSING) or client.asked:
+                self.counts["silent_clients"] += 1
+                self._drop(client, CloseCode.GOING_AWAY, "no answer to a ping")
+                return
+            client.asked = True
+            client.front.ping()
+            self._flush(client)
+        self.engine.at(self.now + idle, self._idle, (client, client.heard, idle))
+
+    def _flush(self, client: Client) -> None:
+        writes, end = client.front.take()
+        if writes:
+            self.orders.append(c.Write(client.conn, b"".join(writes) if len(writes) > 1 else writes[0]))
+        if end and not client.ended:
+            client.ended = True
+            self.orders.append(c.CloseConn(client.conn, 1000.0))
+            self.engine.client_left(self.now, client.conn)
+
+    def _answer(self, answer: c.Answer) -> None:
+        client = self.clients.get(answer.conn)
+        if client is None or client.ended:
+            self.counts["answers_to_nobody"] += 1
+            return
+        client.front.answer(answer)
+        self._flush(client)
+
+    # --- connections that this side opened -------------------------------------------------------
+
+    def dialed(self, now: float, conn: int) -> None:
+        self._at(now)
+        if (handler := self.ups.get(conn)) is not None:
+            handler.dialed(now, conn)
+        self._run()
+
+    def dial_failed(self, now: float, conn: int) -> None:
+        self._at(now)
+        if (handler := self.ups.pop(conn, None)) is not None:
+            handler.dial_failed(now, conn)
+        self._run()
+
+    def _new_conn(self, owner: Any) -> int:
+        self.next_conn += 1
+        if owner is not None:
+            self.ups[self.next_conn] = owner if isinstance(owner, Upstream) else self.pool
+        return self.next_conn
+
+    # --- peers, counter, list --------------------------------------------------------------------
+
+    def datagram(self, now: float, data: bytes) -> None:
+        self._at(now)
+        if self.peers is not None:
+            told = self.peers.unpack(now, data)
+            if told is not None:
+                self.engine.peer_message(now, *told)
+                self._run()
+
+    def _tell_peer(self, command: c.TellPeer) -> None:
+        if self.peers is None:
+            self.counts["no_peers"] += 1
+            return
+        me, count = self.setup.settings.me, self.setup.settings.gateways
+        for to in range(count) if command.to is None else (command.to,):
+            if to != me and 0 <= to < count:
+                data = self.peers.pack(self.now, to, command.text)
+                if data is not None:
+                    self.orders.append(c.Datagram(to, data))
+
+    def _call_counter(self, command: c.CallCounter) -> None:
+        if self.counter is None:
+            self.engine.counted(self.now, command.name, i.Result.CONNECT_FAILED, 0.0, 0.0)
+        else:
+            self.counter.add(self.now, command.name, command.amount, command.forget_after_ms)
+
+    def _no_list(self) -> None:
+        self.engine.members(self.now, i.Scope.FAILED)
+
+    def _take_update(self, update: Update) -> None:
+        """Put an update to the policy and the pool, at the moment when it was read, and keep the list."""
+        self.engine.members(self.now, update.scope, update.servers)
+        if update.scope is i.Scope.FAILED:
+            self.counts["list_failed"] += 1
+            return
+        self.held = apply(self.held, update)
+        self.pool.told(self.now, {a: s.state for a, s in self.held.items()})
+        if update.scope is not i.Scope.CACHED:
+            self.listed_at = self.now
+            self.orders.append(c.SaveList(kept.dump(self.held, self.now)))
+
+    # --- inside ----------------------------------------------------------------------------------
+
+    def _run(self) -> None:
+        """Carry out what the parts want of each other until none wants anything."""
+        engine, pool, counter, source = self.engine, self.pool, self.counter, self.list
+        while True:
+            while engine.out:
+                command = engine.out.popleft()
+                self.carry[type(command)](command)
+            if pool.ended:
+                ended, pool.ended = pool.ended, []
+                for end in ended:
+                    if isinstance(end, Ended):
+                        engine.outcome(
+                            self.now, end.attempt, end.result, end.body, used=end.used, cost=end.cost, load=end.load
+                        )
+                    else:
+                        engine.probed(self.now, end.server, end.result, end.spent_ms, end.load)
+                continue
+            if counter is not None and counter.ended:
+                calls, counter.ended = counter.ended, []
+                for call in calls:
+                    engine.counted(self.now, call.name, call.result, call.value, call.spent_ms)
+                continue
+            if source is not None and source.updates:
+                updates, source.updates = source.updates, []
+                for update in updates:
+                    self._take_update(update)
+                continue
+            if not engine.out:
+                break
+        for part in (pool, *(s.link for s in (counter, source) if s is not None)):
+            if part.out:
+                self.orders.extend(part.out)
+                part.out.clear()
+        if source is not None and source.remarks:
+            self.orders.extend(source.remarks)
+            source.remarks.clear()
+
+    # --- to be seen ------------------------------------------------------------------------------
+
+    def health(self) -> tuple[int, dict[str, Any]]:
+        """Status and body of the health page: whether this ingress can serve, and why not."""
+        ready = sum(s.state is i.State.READY for s in self.held.values())
+        why = "stopping" if self.stopping else "no nodes" if not ready else ""
+        page = {
+            "status": "ok" if not why else "unready", "why": why, "ingress": self.setup.settings.me,
+            "nodes_ready": ready, "open_requests": self.engine.ledger.owed, "clients": len(self.clients),
+        }  # fmt: skip
+        return (503 if why else 200), page
+
+    def figures(self) -> dict[str, Any]:
+        """Counts since the start, by part."""
+        return {
+            "engine": dict(self.engine.counts), "refusals": dict(self.engine.refusals),
+            "core": dict(self.counts), "pool": dict(self.pool.counts),
+            "peers": dict(self.peers.counts) if self.peers else {},
+            "list": dict(self.list.counts) if self.list else {},
+            "counter": dict(self.counter.counts) if self.counter else {},
+            "faults": self.engine.faults, "owed": self.engine.ledger.owed, "clients": len(self.clients),
+            "entries": len(self.engine.ledger.entries), "timers": len(self.engine.timers),
+            "links": len(self.pool.links),
+        }  # fmt: skip
+
+    # --- the end ---------------------------------------------------------------------------------
+
+    def stop(self, now: float) -> None:
+        """Take nothing new; what is open is still answered. ``idle`` tells when nothing is owed any more."""
+        self._at(now)
+        self.stopping = True
+        for client in list(self.clients.values()):
+            client.front.refuse_new()
+            if not client.front.open_ids:
+                self._leave(client)
+        self._run()
+
+    def idle(self) -> bool:
+        return self.engine.ledger.owed == 0
+
+    def finish(self, now: float) -> None:
+        """Close all connections: clients with 1001, "going away" (RFC 6455, 7.4.1)."""
+        self._at(now)
+        for client in list(self.clients.values()):
+            self._leave(client)
+        self.pool.close_all(now)
+        for service in (self.list, self.counter):
+            if service is not None:
+                service.link.stop(now)
+        self._run()
+
+    def _leave(self, client: Client) -> None:
+        client.front.close(CloseCode.GOING_AWAY, "ingress stops")
+        self._flush(client)
--- /dev/null
+++ b/rushweir/ingress/engine.py
@@ -0,0 +1,334 @@
+"""The engine: what happened goes to the policy, what it decides goes out as commands. No I/O, no clock.
+
+The engine decides nothing about admission, servers, time-outs or repeats; it keeps the ledger, so that what
+leaves it obeys the facts whatever the policy says: one final answer for each request, no attempt for a
+request that is finished, no more attempts than the settings allow. An action that the ledger can't carry out
+is answered to the policy as the bench answers it (an attempt ends as MOOT: it never ran) and counted.
+
+Times are milliseconds of one clock that never runs backwards. Equal calls give equal commands.
+"""
+
+from __future__ import annotations
+
+import traceback
+from collections import Counter, deque
+from collections.abc import Callable
+from dataclasses import dataclass
+from heapq import heappop, heappush
+from typing import Any, Protocol
+
+from rushweir import interface as i
+from rushweir.ingress import commands as c
+from rushweir.ingress.ledger import ANSWER, DONE, LEFT, Entry, Ledger
+
+FAULT_PAUSE_MS = 100.0  # a policy timer whose handling raised comes again after this, at least
+
+
+class Decides(Protocol):
+    """What the engine needs of a policy; interface.py has the contract."""
+
+    def start(self) -> list[i.Action]: ...
+
+    def handle(self, now_ms: float, event: i.Event) -> list[i.Action]: ...
+
+
+@dataclass(frozen=True, slots=True)
+class Partner:
+    """A customer as its requests are told to the policy: where its plan's quota is counted."""
+
+    name: str
+    plan: str
+    spread: int = 1  # ingresses that its requests may arrive through ...
+    first: int = 0  # ... counted round from this one
+
+
+@dataclass(frozen=True, slots=True)
+class Ask:
+    """A request as a front understood it."""
+
+    cls: str
+    payload: dict[str, Any]  # what goes to the node
+    within_ms: float | None = None  # how long the client says that it waits; None: the class's deadline
+    units: float = 1.0
+
+
+class Engine:
+    """The decisions of one ingress at work. Fetch what it wants done from ``out``, in order, after each call."""
+
+    def __init__(
+        self,
+        settings: i.Settings,
+        policy: Decides,
+        now: float,
+        *,
+        margin_ms: float = 0.0,
+        boot: str = "",
+    ) -> None:
+        """``margin_ms`` is taken off each client's time, so that its answer is there before it gives up;
+        ``boot`` makes request ids unlike those of earlier runs."""
+        self.settings, self.policy, self.now = settings, policy, now
+        self.margin, self.boot = margin_ms, boot
+        self.classes = {cls.name: cls for cls in settings.classes}
+        self.ledger = Ledger(settings.limits.max_open)
+        self.out: deque[c.Command] = deque()
+        self.timers: list[tuple[float, int, Callable[..., None], Any]] = []
+        self.serial = 0
+        self.counts: Counter[str] = Counter()
+        self.refusals: Counter[str] = Counter()
+        self.faults = 0
+        self.carry: dict[type, Callable[[Any], None]] = {
+            i.Send: self._send,
+            i.Refuse: self._refuse,
+            i.Fail: self._fail,
+            i.Cancel: self._cancel,
+            i.SetTimer: self._set_timer,
+            i.Tell: lambda a: self.out.append(c.TellPeer(a.to, a.text)),
+            i.Count: lambda a: self.out.append(c.CallCounter(a.name, a.amount, a.forget_after_ms)),
+            i.Probe: lambda a: self.out.append(c.ProbeNode(a.server)),
+            i.Watch: lambda a: self.out.append(c.WatchList(a.on)),
+            i.Fetch: lambda a: self.out.append(c.FetchList()),
+            i.Log: lambda a: self.out.append(c.Remark("info", "policy", {"text": a.text[:500]})),
+        }
+
+    # --- time ------------------------------------------------------------------------------------
+
+    def start(self, now: float) -> None:
+        self.now = now
+        self._carry_out(self.policy.start())
+
+    def next_at(self) -> float | None:
+        """When ``advance`` has something to do; None: nothing waits."""
+        return self.timers[0][0] if self.timers else None
+
+    def advance(self, now: float) -> None:
+        """Let time pass. What becomes due while this runs waits for the next call, as on the bench."""
+        self.now = now
+        due = []
+        while self.timers and self.timers[0][0] <= now:
+            due.append(heappop(self.timers))
+        for _, _, what, argument in due:
+            what(argument)
+
+    def at(self, when: float, what: Callable[..., None], argument: Any) -> None:
+        # The serial keeps events of one moment in the order in which they were set.
+        self.serial += 1
+        heappush(self.timers, (when, self.serial, what, argument))
+
+    # --- what happened ---------------------------------------------------------------------------
+
+    def request(self, now: float, conn: int, ref: Any, partner: Partner, ask: Ask) -> str | None:
+        """Take a request; returns its id, or None where it was answered before it was taken."""
+        self.now = now
+        cls = self.classes.get(ask.cls)
+        self.counts["requests"] += 1
+        deadline = cls.deadline_ms if cls else 0.0
+        within = deadline if ask.within_ms is None else min(ask.within_ms, deadline)
+        not_after = now + within - self.margin
+        why = "unknown_class" if cls is None else "ingress_full" if self.ledger.full() else ""
+        if why or not_after <= now:
+            # None of it is a decision about load: these can't be put to the policy at all.
+            self._answer_early(conn, ref, why or "too_late")
+            return None
+        self.ledger.serial += 1
+        rid = f"{self.boot}{self.ledger.serial:x}"
+        entry = Entry(rid, conn, ref, ask.cls, partner.name, ask.units, now, not_after, ask.payload)
+        self.ledger.take(entry)
+        self.at(not_after, self._deadline, entry)
+        event = i.Request(
+            rid, ask.cls, partner.plan, partner.name, not_after, ask.units, partner.spread, partner.first
+        )
+        self._tell(event, entry)
+        return rid
+
+    def client_left(self, now: float, conn: int) -> int:
+        """A connection ended: nobody waits for its requests; returns how many there were."""
+        self.now = now
+        entries = self.ledger.of(conn)
+        for entry in entries:
+            self.counts["left"] += 1
+            self.ledger.finish(entry, LEFT)
+            self._tell(i.Gone(entry.rid))
+        return len(entries)
+
+    def outcome(
+        self,
+        now: float,
+        attempt: c.Attempt,
+        result: i.Result,
+        body: Any = None,
+        *,
+        used: int = 0,
+        cost: float = 0.0,
+        load: dict[str, float] | None = None,
+    ) -> None:
+        """An attempt ended. The first good one is the request's final answer; the policy hears of each."""
+        self.now = now
+        entry = self.ledger.entries.get(attempt.rid)
+        if entry is None or attempt.ended:
+            self.counts["stray_outcomes"] += 1
+            return
+        self.counts[f"attempt_{result.value}"] += 1
+        self.ledger.ended(entry, attempt, result.never_ran)
+        if result is i.Result.OK and entry.state is not DONE:
+            self._answer(entry, c.Kind.SERVED, body)
+        event = i.Outcome(
+            attempt.rid, attempt.number, attempt.server, result, now - attempt.sent_ms, entry.state is DONE,
+            used, cost, load,
+        )  # fmt: skip
+        self._tell(event, entry)
+
+    def members(self, now: float, scope: i.Scope, servers: tuple[i.Server, ...] = ()) -> None:
+        self.now = now
+        self._tell(i.Members(scope, servers))
+
+    def peer_message(self, now: float, source: int, text: str) -> None:
+        self.now = now
+        self._tell(i.PeerMessage(source, text))
+
+    def counted(self, now: float, name: int, result: i.Result, value: float, spent_ms: float) -> None:
+        self.now = now
+        self._tell(i.Counted(name, result, value, spent_ms))
+
+    def probed(
+        self, now: float, server: str, result: i.Result, spent_ms: float, load: dict[str, float] | None = None
+    ) -> None:
+        self.now = now
+        self._tell(i.Probed(server, result, spent_ms, load))
+
+    # --- the policy ------------------------------------------------------------------------------
+
+    def _tell(self, event: i.Event, entry: Entry | None = None) -> None:
+        """Put an event to the policy and carry out its answer. If it raises, the request at hand still gets
+        its one answer; others that it may have forgotten get theirs at their deadline."""
+        try:
+            actions = self.policy.handle(self.now, event)
+        except Exception as error:  # noqa: BLE001 - whatever it raised, the ingress goes on
+            self._fault(error, type(event).__name__)
+            if entry is not None and entry.state is not DONE and not entry.out:
+                self._answer_by_facts(entry, "fault")
+            if isinstance(event, i.Timer):
+                # The policy's clockwork hangs on its timers: a lost tick would stop it for good.
+                self.at(self.now + FAULT_PAUSE_MS, self._timer, event.ref)
+            return
+        if actions:
+            self._carry_out(actions)
+
+    def _carry_out(self, actions: list[i.Action]) -> None:
+        for action in actions:
+            self.carry[type(action)](action)
+
+    def _fault(self, error: Exception, where: str) -> None:
+        self.faults += 1
+        self.counts["faults"] += 1
+        last = traceback.extract_tb(error.__traceback__)[-1:]
+        place = f"{last[0].name}:{last[0].lineno}" if last else ""
+        fields = {"event": where, "error": f"{type(error).__name__}: {error}"[:300], "at": place}
+        self.out.append(c.Remark("error", "policy_fault", fields))
+
+    def _send(self, action: i.Send) -> None:
+        entry = self.ledger.entries.get(action.id)
+        if entry is None:
+            self._odd("send", action.id)
+            return
+        n, until = len(entry.attempts), min(action.until_ms or entry.not_after, entry.not_after)
+        attempt = c.Attempt(entry.rid, n, action.server, self.now, until, entry.payload, entry.cls)
+        limits = self.settings.limits
+        twice = entry.out and not limits.second_copies
+        if entry.state is DONE or n >= limits.max_attempts or until <= self.now or twice:
+            # Not to be carried out: it ends as never sent, told apart from this answer, as on the bench.
+            self._odd("send", action.id)
+            entry.attempts.append(attempt)
+            attempt.ended = True
+            self.at(self.now, self._moot, attempt)
+            return
+        self.ledger.send(entry, attempt)
+        self.counts["attempts"] += 1
+        if until < entry.not_after:  # at its deadline the request ends its attempts itself
+            self.at(until, self._expire, attempt)
+        self.out.append(c.SendAttempt(attempt))
+
+    def _moot(self, attempt: c.Attempt) -> None:
+        entry = self.ledger.entries.get(attempt.rid)
+        settled = entry is None or entry.state is DONE
+        self._tell(
+            i.Outcome(attempt.rid, attempt.number, attempt.server, i.Result.MOOT, 0.0, settled), entry
+        )
+
+    def _refuse(self, action: i.Refuse) -> None:
+        entry = self._open_entry(action.id, "refuse")
+        if entry is not None:
+            self.refusals[action.why or "policy"] += 1
+            self._answer(entry, c.Kind.REFUSED, why=action.why or "policy", retry=action.stay_away_ms)
+
+    def _fail(self, action: i.Fail) -> None:
+        entry = self._open_entry(action.id, "fail")
+        if entry is not None:
+            self._answer(entry, c.Kind.FAILED, why="attempts")
+
+    def _cancel(self, action: i.Cancel) -> None:
+        entry = self.ledger.entries.get(action.id)
+        if entry is None or not 0 <= action.attempt < len(entry.attempts):
+            self._odd("cancel", action.id)
+        elif not entry.attempts[action.attempt].ended:
+            self.out.append(c.CancelAttempt(entry.attempts[action.attempt]))
+
+    def _set_timer(self, action: i.SetTimer) -> None:
+        self.at(self.now + max(0.0, action.after_ms), self._timer, action.ref)
+
+    def _timer(self, ref: int) -> None:
+        self._tell(i.Timer(ref))
+
+    def _open_entry(self, rid: str, what: str) -> Entry | None:
+        """The entry that an answer is for; a second answer has none, and is dropped and counted."""
+        entry = self.ledger.entries.get(rid)
+        if entry is None or entry.state is DONE:
+            self._odd(what, rid)
+            return None
+        return entry
+
+    def _odd(self, what: str, rid: str) -> None:
+        self.counts[f"odd_{what}"] += 1
+        self.out.append(c.Remark("warning", "odd_action", {"action": what, "request": rid}))
+
+    # --- answers ---------------------------------------------------------------------------------
+
+    def _answer(
+        self, entry: Entry, kind: str, body: Any = None, why: str = "", retry: float = 0.0
+    ) -> None:
+        self.counts[kind] += 1
+        self.ledger.finish(entry, ANSWER)
+        self.out.append(c.Answer(entry.conn, entry.ref, kind, body, why, retry, self.now - entry.taken))
+
+    def _answer_early(self, conn: int, ref: Any, why: str) -> None:
+        self.counts[c.Kind.REFUSED] += 1
+        self.refusals[why] += 1
+        self.out.append(c.Answer(conn, ref, c.Kind.REFUSED, None, why, 0.0, 0.0))
+
+    def _answer_by_facts(self, entry: Entry, why: str) -> None:
+        """The answer where the policy gave none: a refusal is true only if no attempt can have run."""
+        ran = entry.may_have_run or any(not a.ended for a in entry.attempts)
+        if not ran:
+            self.refusals[why] += 1
+        self._answer(entry, c.Kind.FAILED if ran else c.Kind.REFUSED, why=why)
+
+    def _expire(self, attempt: c.Attempt) -> None:
+        if not attempt.ended:
+            self.out.append(c.ExpireAttempt(attempt))
+
+    def _deadline(self, entry: Entry) -> None:
+        """The client's time is up: what is out has timed out, which the policy answers; if it does not, the
+        facts do."""
+        if entry.state is DONE:
+            return
+        waiting = [a for a in entry.attempts if not a.ended]
+        for attempt in waiting:
+            self.out.append(c.ExpireAttempt(attempt))
+        # After those have come back: the commands before this one are carried out first.
+        self.at(self.now, self._overdue, entry) if waiting else self._overdue(entry)
+
+    def _overdue(self, entry: Entry) -> None:
+        if entry.state is DONE:
+            return
+        self.counts["overdue"] += 1
+        self._answer_by_facts(entry, "overdue")
+        self._tell(i.Gone(entry.rid))
--- /dev/null
+++ b/rushweir/ingress/shell.py
@@ -0,0 +1,321 @@
+"""The shell around a Core: asyncio streams, a datagram socket, a clock and a file. It decides nothing.
+
+Orders are carried out in the order in which they were given. One timer of the event loop stands for all
+timers of the core. Each connection has one task that reads; writes are handed to the transport at once, and
+a connection whose transport holds more than ``HIGH_WATER`` bytes is reported as congested until it drained.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import logging
+import os
+import socket
+import time
+from collections.abc import Callable
+from pathlib import Path
+
+from rushweir.ingress import commands as c
+from rushweir.ingress.core import Core
+
+HIGH_WATER = 65_536  # bytes that wait in a transport before the connection counts as congested
+READ_SIZE = 65_536
+BACKLOG = 1024
+
+
+class Clock:
+    """Milliseconds that never run backwards, anchored to the wall clock once, at the start.
+
+    The list of nodes tells start times of nodes in wall time, and ingresses that share a counter name its
+    counts by the minute: so the clock is a wall clock; but a step of the wall clock must not move timers."""
+
+    def __init__(self) -> None:
+        self.offset = time.time() - time.monotonic()
+
+    def __call__(self) -> float:
+        return (time.monotonic() + self.offset) * 1000.0
+
+
+class Shell:
+    """Runs one core. ``serve`` opens its sockets, ``stop`` ends it."""
+
+    def __init__(
+        self,
+        core: Core,
+        clock: Callable[[], float],
+        *,
+        peers: dict[int, tuple[str, int]] | None = None,
+        list_file: Path | None = None,
+        log: logging.Logger | None = None,
+    ) -> None:
+        self.core, self.clock, self.peers = core, clock, peers or {}
+        self.list_file = list_file
+        self.log = log or logging.getLogger("rushweir")
+        self.loop = asyncio.get_running_loop()
+        self.writers: dict[int, asyncio.StreamWriter] = {}
+        self.tasks: set[asyncio.Task] = set()
+        self.readable: dict[int, asyncio.Event] = {}
+        self.congested: set[int] = set()
+        self.timer: asyncio.TimerHandle | None = None
+        self.timer_at = 0.0
+        self.server: asyncio.Server | None = None
+        self.udp: asyncio.DatagramTransport | None = None
+        self.saving: bytes | None = None
+        self.saver: asyncio.Task | None = None
+        self.carrying = False
+        self.carry = {
+            c.Write: self._write,
+            c.Dial: self._dial,
+            c.CloseConn: self._close,
+            c.AbortConn: self._abort,
+            c.PauseReading: self._pause,
+            c.Datagram: self._datagram,
+            c.SaveList: self._save,
+            c.Remark: self._remark,
+        }
+
+    # --- start and end ---------------------------------------------------------------------------
+
+    async def serve(self, host: str, port: int, peer_address: tuple[str, int] | None = None) -> int:
+        """Open the sockets and start; returns the port that clients connect to."""
+        if peer_address is not None:
+            self.udp, _ = await self.loop.create_datagram_endpoint(
+                lambda: _Datagrams(self), local_addr=peer_address
+            )
+        last = None
+        if self.list_file is not None:
+            with contextlib.suppress(FileNotFoundError):
+                last = self.list_file.read_bytes()
+        self.core.start(self.clock(), last)
+        self.carry_out()
+        self.server = await asyncio.start_server(self._client, host, port, backlog=BACKLOG, limit=READ_SIZE)
+        return self.server.sockets[0].getsockname()[1]
+
+    async def stop(self, within_ms: float = 5_000.0) -> bool:
+        """Take no more, answer what is open, close; whether all of it was answered in time."""
+        if self.server is not None:
+            self.server.close()
+        self.core.stop(self.clock())
+        self.carry_out()
+        end = self.loop.time() + within_ms / 1000
+        while not self.core.idle() and self.loop.time() < end:
+            await asyncio.sleep(0.01)
+        answered = self.core.idle()
+        self.core.finish(self.clock())
+        self.carry_out()
+        for _ in range(20):  # the close frames go out
+            if not any(w.transport.get_write_buffer_size() for w in self.writers.values()):
+                break
+            await asyncio.sleep(0.01)
+        await self.kill()
+        return answered
+
+    async def kill(self) -> None:
+        """End everything at once, without a word to anybody; a list being written is written to its end."""
+        if self.server is not None:
+            self.server.close()
+        if self.timer is not None:
+            self.timer.cancel()
+        if self.udp is not None:
+            self.udp.close()
+        for writer in self.writers.values():
+            writer.transport.abort()
+        tasks = [t for t in self.tasks if t is not asyncio.current_task()]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        if self.saver is not None:
+            await self.saver
+
+    # --- orders ----------------------------------------------------------------------------------
+
+    def carry_out(self) -> None:
+        """Carry out all orders there are, and set the timer."""
+        if self.carrying:
+            return  # an order caused a call of the core; its orders are taken by the loop below
+        self.carrying = True
+        orders, carry = self.core.orders, self.carry
+        try:
+            while orders:
+                order = orders.popleft()
+                carry[type(order)](order)
+        finally:
+            self.carrying = False
+        at = self.core.next_at()
+        if at is not None and (self.timer is None or at != self.timer_at):
+            # A later time than the one set needs no change: the timer comes, finds nothing, and is set anew.
+            if self.timer is not None:
+                if at > self.timer_at:
+                    return
+                self.timer.cancel()
+            self.timer_at = at
+            self.timer = self.loop.call_later(max(0.0, (at - self.clock()) / 1000), self._tick)
+
+    def _tick(self) -> None:
+        self.timer = None
+        self.core.advance(self.clock())
+        self.carry_out()
+
+    def _write(self, order: c.Write) -> None:
+        writer = self.writers.get(order.conn)
+        if writer is None or writer.transport.is_closing():
+            return
+        writer.write(order.data)
+        waiting = writer.transport.get_write_buffer_size()
+        if waiting > HIGH_WATER:
+            self.core.congested(self.clock(), order.conn, waiting)
+            if order.conn not in self.congested:
+                self.congested.add(order.conn)
+                self._spawn(self._drain(order.conn, writer))
+
+    async def _drain(self, conn: int, writer: asyncio.StreamWriter) -> None:
+        try:
+            await writer.drain()
+        except (ConnectionError, OSError):
+            return  # the reader's task tells
+        finally:
+            self.congested.discard(conn)
+        self.core.drained(self.clock(), conn)
+        self.carry_out()
+
+    def _dial(self, order: c.Dial) -> None:
+        self._spawn(self._connect(order))
+
+    async def _connect(self, order: c.Dial) -> None:
+        try:
+            async with asyncio.timeout(order.timeout_ms / 1000):
+                reader, writer = await asyncio.open_connection(order.host, order.port, limit=READ_SIZE)
+        except (OSError, TimeoutError):
+            self.core.dial_failed(self.clock(), order.conn)
+            self.carry_out()
+            return
+        if order.conn not in self.core.ups:  # given up meanwhile
+            writer.transport.abort()
+            return
+        _prepare(writer)
+        self.writers[order.conn] = writer
+        self.core.dialed(self.clock(), order.conn)
+        self.carry_out()
+        await self._read(order.conn, reader, writer)
+
+    async def _client(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+        _prepare(writer)
+        conn = self.core.accepted(self.clock())
+        self.writers[conn] = writer
+        self.carry_out()
+        await self._read(conn, reader, writer)
+
+    async def _read(self, conn: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Read until the connection ends. An update of the list counts from the clock taken here."""
+        try:
+            while True:
+                if (gate := self.readable.get(conn)) is not None:
+                    await gate.wait()
+                data = await reader.read(READ_SIZE)
+                if not data:
+                    break
+                self.core.received(self.clock(), conn, data)
+                self.carry_out()
+        except (ConnectionError, OSError, TimeoutError):
+            pass
+        finally:
+            self.writers.pop(conn, None)
+            self.readable.pop(conn, None)
+            self.core.ended(self.clock(), conn)
+            self.carry_out()
+            if not writer.transport.is_closing():
+                writer.close()
+
+    def _close(self, order: c.CloseConn) -> None:
+        """End a connection so that its last bytes arrive: closing a socket with unread input resets it, and
+        the peer would lose the close frame. So the writing side ends, what still comes is thrown away, and
+        after a while it is over in any case."""
+        writer = self.writers.get(order.conn)
+        if writer is None or writer.transport.is_closing():
+            return
+        with contextlib.suppress(OSError, RuntimeError):
+            writer.write_eof()
+        if (gate := self.readable.pop(order.conn, None)) is not None:
+            gate.set()
+        self.loop.call_later(order.within_ms / 1000, writer.transport.abort)
+
+    def _abort(self, order: c.AbortConn) -> None:
+        writer = self.writers.pop(order.conn, None)
+        if writer is not None:
+            writer.transport.abort()
+
+    def _pause(self, order: c.PauseReading) -> None:
+        if order.pause:
+            self.readable.setdefault(order.conn, asyncio.Event())
+        elif (gate := self.readable.pop(order.conn, None)) is not None:
+            gate.set()
+
+    def _datagram(self, order: c.Datagram) -> None:
+        address = self.peers.get(order.peer)
+        if self.udp is not None and address is not None and not self.udp.is_closing():
+            self.udp.sendto(order.data, address)
+
+    def _save(self, order: c.SaveList) -> None:
+        """Keep the list, off the event loop; of several that come meanwhile only the last is written."""
+        self.saving = order.data
+        if self.list_file is not None and self.saver is None:
+            self.saver = self.loop.create_task(self._save_all())
+
+    async def _save_all(self) -> None:
+        assert self.list_file is not None
+        while (data := self.saving) is not None:
+            self.saving = None
+            try:
+                await asyncio.to_thread(replace_file, self.list_file, data)
+            except OSError as problem:
+                self._remark(c.Remark("error", "list_not_kept", {"why": str(problem)}))
+        self.saver = None
+
+    def _remark(self, remark: c.Remark) -> None:
+        level = logging.getLevelName(remark.level.upper())
+        self.log.log(level, "%s %s", remark.cause, remark.fields)
+
+    def _spawn(self, work) -> None:
+        task = self.loop.create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+
+class _Datagrams(asyncio.DatagramProtocol):
+    def __init__(self, shell: Shell) -> None:
+        self.shell = shell
+
+    def datagram_received(self, data: bytes, address: tuple) -> None:
+        self.shell.core.datagram(self.shell.clock(), data)
+        self.shell.carry_out()
+
+    def error_received(self, error: OSError) -> None:
+        """A peer that is down answers with an ICMP error; that it is down shows in its silence."""
+
+
+def _prepare(writer: asyncio.StreamWriter) -> None:
+    writer.transport.set_write_buffer_limits(high=HIGH_WATER)
+    sock = writer.get_extra_info("socket")
+    if sock is not None:
+        with contextlib.suppress(OSError):
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+
+def replace_file(path: Path, data: bytes) -> None:
+    """Write a file so that a crash at any point leaves the old or the new one, whole."""
+    new = path.with_name(path.name + ".new")
+    with open(new, "wb") as file:
+        file.write(data)
+        file.flush()
+        os.fsync(file.fileno())
+    os.replace(new, path)
+    folder = os.open(path.parent, os.O_RDONLY)
+    try:
+        os.fsync(folder)
+    finally:
+        os.close(folder)
--- a/rushweir/interface.py
+++ b/rushweir/interface.py
@@ -253,6 +253,7 @@
 
     id: str
     stay_away_ms: float = 0.0
+    why: str = ""  # which of its own grounds the policy names; for people and counts, nothing hangs on it
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/rushweir/nodes/__init__.py
@@ -0,0 +1,1 @@
+"""Connections to dispatch nodes: pooled, multiplexed, without I/O."""
--- /dev/null
+++ b/rushweir/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Ingress to ingress: authenticated datagrams. No I/O."""
--- a/rushweir/rules.py
+++ b/rushweir/rules.py
@@ -427,25 +427,27 @@
             self.quota.settle(t, -r.units, True)
         if not ended:
             self.end(t)
-        return [] if ended else [self.refuse(r, self.quota.wait(c, r.units))]
+        why = "ceiling" if server else "no_node" if inside or self.soft(c) else "quota"
+        return [] if ended else [self.refuse(r, why, self.quota.wait(c, r.units))]
 
     def soft(self, c: st.Customer) -> bool:
         free = not self.room.pressed(self.now) and self.room.parts.full() < SOFT_PART
         return free and c.plan.over_worth > c.plan.over_cost and not c.plan.open_limit
 
-    def refuse(self, r: i.Request, wait: float = 0.0) -> i.Refuse:
-        return i.Refuse(r.id, min(wait, self.s.limits.max_retry_after_ms) * self.s.limits.retry_after)
+    def refuse(self, r: i.Request, why: str, wait: float = 0.0) -> i.Refuse:
+        return i.Refuse(r.id, min(wait, self.s.limits.max_retry_after_ms) * self.s.limits.retry_after, why)
 
     def request(self, r: i.Request) -> list[i.Action]:
         now, cls, c = self.now, self.room.classes.get(r.cls), self.quota.customer(r, self.now)
         if cls is None or c is None:
-            return [self.refuse(r)]
+            return [self.refuse(r, "unknown")]
         self.room.asked[r.cls].add(r.units, now)
         self.room.mean_units += LENGTH_ALPHA * (r.units - self.room.mean_units)
         if c.ceiling < r.units or (self.quota.vain(c, r.units, now) and not self.soft(c)):
-            return [self.refuse(r, self.quota.wait(c, r.units))]
+            why = "ceiling" if c.ceiling < r.units else "quota"
+            return [self.refuse(r, why, self.quota.wait(c, r.units))]
         if (grant := self.room.draw(r.cls, r.units, c.plan.price, now)) is None:
-            return [self.refuse(r, self.room.wait(r.cls, r.units))]
+            return [self.refuse(r, "room", self.room.wait(r.cls, r.units))]
         self.serial += 1
         t = self.tickets[r.id] = st.Ticket(r, cls, c, grant, now + cls.aim_ms, self.serial % 65536)
         return self.ask(t)
@@ -487,7 +489,7 @@
         self.end(t)
         harmless = t.ran is None or cls.effect is i.Effect.SAFE or (keyed and cls.group is i.Group.ALL)
         wait = self.room.wait(t.r.cls, t.r.units)
-        return [self.refuse(t.r, wait) if harmless and now < t.r.not_after_ms else i.Fail(t.r.id)]
+        return [self.refuse(t.r, "attempts", wait) if harmless and now < t.r.not_after_ms else i.Fail(t.r.id)]
 
     def may_go(self, t: st.Ticket, e: i.Server) -> bool:
         if t.ran is None or t.cls.effect is not i.Effect.KEYED or t.cls.group is i.Group.ALL:
