--- /dev/null
+++ b/rushweir/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line."""
--- a/rushweir/ingress/shell.py
+++ b/rushweir/ingress/shell.py
@@ -92,6 +92,11 @@
         self.server = await asyncio.start_server(self._client, host, port, backlog=BACKLOG, limit=READ_SIZE)
         return self.server.sockets[0].getsockname()[1]
 
+    def peer_port(self) -> str:
+        """Where messages of peers are taken, as text."""
+        host, port = self.udp.get_extra_info("sockname")[:2] if self.udp is not None else ("", 0)
+        return f"{host}:{port}"
+
     async def stop(self, within_ms: float = 5_000.0) -> bool:
         """Take no more, answer what is open, close; whether all of it was answered in time."""
         if self.server is not None:
--- a/rushweir/lab/records.py
+++ b/rushweir/lab/records.py
@@ -27,6 +27,7 @@
         self.kept: list[dict[str, Any]] = []
 
     def note(self, event: str, **fields: Any) -> None:
+        """Note an event; ``t`` among the fields sets its time where that is not now."""
         record = {"t": round(clock(), 3), "e": event, **fields}
         if self.fd is None:
             self.kept.append(record)
--- a/rushweir/lab/standins/node.py
+++ b/rushweir/lab/standins/node.py
@@ -126,9 +126,9 @@
             str(p.get("key", "")), float(data.get("work", 50.0)), float(p.get("units", 1)),
         )  # fmt: skip
         self.records.note(
-            "arrive", node=self.address, room=self.room, ingress=peer.ingress, req=job.request, n=job.attempt,
-            cls=call.method, partner=job.partner, key=job.key, work=job.work, units=job.units,
-            within=p.get("within_ms", 0), tag=data.get("tag"),
+            "arrive", t=round(peer.came, 3), node=self.address, room=self.room, ingress=peer.ingress,
+            req=job.request, n=job.attempt, cls=call.method, partner=job.partner, key=job.key, work=job.work,
+            units=job.units, within=p.get("within_ms", 0), tag=data.get("tag"),
         )  # fmt: skip
         self.jobs[peer.number, call.id] = job
         if self.meter is not None and not job.attempt:
--- a/rushweir/lab/standins/server.py
+++ b/rushweir/lab/standins/server.py
@@ -10,9 +10,11 @@
 
 from websockets.http11 import Request
 
+from rushweir.lab.records import clock
 from rushweir.link import rpc
 from rushweir.link.websocket import Messages, server_protocol
 
+MOST_CHUNKS = 64  # of 64 KiB, held for a connection that nobody reads from
 AGENT = re.compile(r"ingress=(\d+) zone=(\S+)")
 
 
@@ -24,6 +26,7 @@
         self.messages: Messages | None = None
         self.ingress, self.zone = -1, ""
         self.gone = False
+        self.came = 0.0  # when the bytes at hand were read off the socket
 
     def send(self, text: bytes) -> None:
         if self.messages is not None and not self.gone and self.messages.send(text):
@@ -96,8 +99,13 @@
         peer = Peer(self, writer, self.serial)
         self.peers[peer.number] = peer
         proto = server_protocol(1 << 24)
+        chunks: asyncio.Queue[tuple[float, bytes]] = asyncio.Queue(MOST_CHUNKS)
+        pump = asyncio.create_task(self._pump(reader, chunks))
         try:
-            while data := await reader.read(65536):
+            while True:
+                peer.came, data = await chunks.get()
+                if not data:
+                    break
                 await self.reading(peer)
                 if peer.messages is None:
                     proto.receive_data(data)
@@ -122,11 +130,22 @@
         except (ConnectionError, OSError):
             pass
         finally:
+            pump.cancel()
             peer.gone = True
             self.peers.pop(peer.number, None)
             self.lost(peer)
             writer.close()
 
+    async def _pump(self, reader: asyncio.StreamReader, chunks: asyncio.Queue[tuple[float, bytes]]) -> None:
+        """Read on while the other side of the queue waits, so that each chunk has the time at which it came."""
+        data = b"-"
+        while data:
+            try:
+                data = await reader.read(65536)
+            except (ConnectionError, OSError):
+                data = b""
+            await chunks.put((clock(), data))
+
     def _read(self, peer: Peer, text: Any) -> None:
         try:
             message = rpc.read(text)
