--- a/rushweir/ingress/core.py
+++ b/rushweir/ingress/core.py
@@ -202,6 +202,8 @@
             if (handler := self.ups.get(conn)) is not None:
                 handler.congested(conn)
             return
+        if client.ended:
+            return
         if size > self.setup.front.buffer:
             # It asks and never reads: its answers would fill the memory that others need.
             self.counts["unread"] += 1
@@ -415,8 +417,11 @@
         return self.engine.ledger.owed == 0
 
     def finish(self, now: float) -> None:
-        """Close all connections: clients with 1001, "going away" (RFC 6455, 7.4.1)."""
+        """Close all connections: clients with 1001, "going away" (RFC 6455, 7.4.1). What is still owed is
+        answered before, so that the resets of the nodes' connections send nothing on."""
         self._at(now)
+        self.engine.give_up_all(now, "stopping")
+        self._run()
         for client in list(self.clients.values()):
             self._leave(client)
         self.pool.close_all(now)
--- a/rushweir/ingress/engine.py
+++ b/rushweir/ingress/engine.py
@@ -21,6 +21,7 @@
 from rushweir.ingress import commands as c
 from rushweir.ingress.ledger import ANSWER, DONE, LEFT, Entry, Ledger
 
+ENDING_MS = 5.0  # attempts end this long before their request's time, while the policy can still answer in time
 FAULT_PAUSE_MS = 100.0  # a policy timer whose handling raised comes again after this, at least
 
 
@@ -124,8 +125,9 @@
         deadline = cls.deadline_ms if cls else 0.0
         within = deadline if ask.within_ms is None else min(ask.within_ms, deadline)
         not_after = now + within - self.margin
+        # From here on all times are the policy's: what the client's clock says is the margin's affair.
         why = "unknown_class" if cls is None else "ingress_full" if self.ledger.full() else ""
-        if why or not_after <= now:
+        if why or not_after <= now + ENDING_MS:
             # None of it is a decision about load: these can't be put to the policy at all.
             self._answer_early(conn, ref, why or "too_late")
             return None
@@ -133,7 +135,7 @@
         rid = f"{self.boot}{self.ledger.serial:x}"
         entry = Entry(rid, conn, ref, ask.cls, partner.name, ask.units, now, not_after, ask.payload)
         self.ledger.take(entry)
-        self.at(not_after, self._deadline, entry)
+        self.at(not_after - ENDING_MS, self._deadline, entry)
         event = i.Request(
             rid, ask.cls, partner.plan, partner.name, not_after, ask.units, partner.spread, partner.first
         )
@@ -150,6 +152,15 @@
             self._tell(i.Gone(entry.rid))
         return len(entries)
 
+    def give_up_all(self, now: float, why: str) -> int:
+        """Answer all that is owed by what is known of it, since the ingress ends; returns how many there were."""
+        self.now = now
+        owed = [e for e in self.ledger.entries.values() if e.state is not DONE]
+        for entry in owed:
+            self._answer_by_facts(entry, why)
+            self._tell(i.Gone(entry.rid))
+        return len(owed)
+
     def outcome(
         self,
         now: float,
@@ -230,7 +241,7 @@
         if entry is None:
             self._odd("send", action.id)
             return
-        n, until = len(entry.attempts), min(action.until_ms or entry.not_after, entry.not_after)
+        n, until = len(entry.attempts), min(action.until_ms or entry.not_after, entry.not_after - ENDING_MS)
         attempt = c.Attempt(entry.rid, n, action.server, self.now, until, entry.payload, entry.cls)
         limits = self.settings.limits
         twice = entry.out and not limits.second_copies
@@ -243,7 +254,7 @@
             return
         self.ledger.send(entry, attempt)
         self.counts["attempts"] += 1
-        if until < entry.not_after:  # at its deadline the request ends its attempts itself
+        if until < entry.not_after - ENDING_MS:  # at its deadline the request ends its attempts itself
             self.at(until, self._expire, attempt)
         self.out.append(c.SendAttempt(attempt))
 
--- a/rushweir/ingress/shell.py
+++ b/rushweir/ingress/shell.py
@@ -63,7 +63,7 @@
         self.udp: asyncio.DatagramTransport | None = None
         self.saving: bytes | None = None
         self.saver: asyncio.Task | None = None
-        self.carrying = False
+        self.carrying = self.dead = False
         self.carry = {
             c.Write: self._write,
             c.Dial: self._dial,
@@ -118,6 +118,7 @@
 
     async def kill(self) -> None:
         """End everything at once, without a word to anybody; a list being written is written to its end."""
+        self.dead = True
         if self.server is not None:
             self.server.close()
         if self.timer is not None:
@@ -137,6 +138,9 @@
 
     def carry_out(self) -> None:
         """Carry out all orders there are, and set the timer."""
+        if self.dead:
+            self.core.orders.clear()
+            return
         if self.carrying:
             return  # an order caused a call of the core; its orders are taken by the loop below
         self.carrying = True
@@ -213,7 +217,9 @@
         conn = self.core.accepted(self.clock())
         self.writers[conn] = writer
         self.carry_out()
-        await self._read(conn, reader, writer)
+        # The streams' own callback would report a cancelled task as an error when this shell is killed.
+        with contextlib.suppress(asyncio.CancelledError):
+            await self._read(conn, reader, writer)
 
     async def _read(self, conn: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Read until the connection ends. An update of the list counts from the clock taken here."""
--- /dev/null
+++ b/rushweir/lab/sabotage.py
@@ -0,0 +1,106 @@
+"""Ingresses that break one rule each, on purpose: the checker must catch every one of them.
+
+    python -m rushweir.lab.sabotage KIND serve FILE
+
+``lost``: answers are dropped now and then. ``twice``: some requests are answered two times. ``repeat``: what may
+have run is sent again to wherever. ``drain``: news of draining and gone nodes is not believed. ``cold``: a cold
+node is taken for the best of all. ``ceiling``: plans have no ceiling. None of this is reachable from the program.
+"""
+
+from __future__ import annotations
+
+import sys
+from dataclasses import replace
+
+from rushweir import interface as i
+from rushweir import rules
+from rushweir.config.load import Config
+from rushweir.ingress import commands as c
+from rushweir.ingress.core import Core
+
+
+def lost() -> None:
+    """Rule 1: every fifth answer is forgotten."""
+    real, seen = Core._answer, [0]
+
+    def answer(self: Core, command: c.Answer) -> None:
+        seen[0] += 1
+        if seen[0] % 5:
+            real(self, command)
+
+    Core._answer = answer
+
+
+def twice() -> None:
+    """Rule 1: every fifth answer is given two times."""
+    real, seen = Core._answer, [0]
+
+    def answer(self: Core, command: c.Answer) -> None:
+        real(self, command)
+        seen[0] += 1
+        if not seen[0] % 5:
+            real(self, command)
+
+    Core._answer = answer
+
+
+def repeat() -> None:
+    """Rule 2: each class is taken for safe to repeat, and attempts for lost after a moment."""
+    real = Config.settings
+    Config.settings = lambda self: replace(
+        real(self), classes=tuple(replace(k, effect=i.Effect.SAFE) for k in real(self).classes)
+    )
+    rules.LIMIT_AIM, rules.LIMIT_TIMES, rules.RETRY_PART = 0.02, 0.2, 5.0
+
+
+def drain() -> None:
+    """Rule 3: whatever the list says, a node once known stays ready."""
+    real = Core._take_update
+
+    def take(self: Core, update) -> None:
+        ready = tuple(replace(s, state=i.State.READY) for s in update.servers)
+        scope = i.Scope.DELTA if self.held else update.scope
+        real(self, replace(update, servers=ready, scope=scope))
+
+    Core._take_update = take
+
+
+def cold() -> None:
+    """Rule 4: the node that started last gets everything, and there is always room."""
+    rules.Room.draw = lambda self, name, units, price, now: self.parts.draw([0], units)
+
+    def choose(self, now, allowed, avoid):
+        return max(self.ready, key=lambda b: b.entry.online_since_ms, default=None)
+
+    rules.Fleet.choose = choose
+
+
+def ceiling() -> None:
+    """Rule 5: the ceiling is as high as can be, and the quota as well."""
+    real = Config.settings
+
+    def settings(self: Config) -> i.Settings:
+        s = real(self)
+        return replace(
+            s, plans=tuple(replace(p, ceiling_rate=0.0, rate=p.rate * 100, burst=p.burst * 100) for p in s.plans)
+        )
+
+    Config.settings = settings
+    rules.Room.draw = lambda self, name, units, price, now: self.parts.draw([0], units)
+
+
+KINDS = {f.__name__: f for f in (lost, twice, repeat, drain, cold, ceiling)}
+
+
+def main() -> None:
+    if len(sys.argv) < 3 or sys.argv[1] not in KINDS:
+        print(f"usage: sabotage {{{','.join(KINDS)}}} serve FILE", file=sys.stderr)
+        sys.exit(2)
+    KINDS[sys.argv[1]]()
+    from rushweir.cli.main import main as cli
+
+    cli(args=sys.argv[2:], prog_name="rushweir")
+
+
+if __name__ == "__main__":
+    main()
