--- a/rushweir/config/load.py
+++ b/rushweir/config/load.py
@@ -227,6 +227,9 @@
         text = "is missing"
     elif e["type"] == "value_error":
         text = f"expected {text}" if not text.startswith(("aim", "window", "burst", "ceiling")) else text
+    elif e["type"] == "string_pattern_mismatch":
+        form = ": sha256: and 64 hex digits" if path[-1] == "credential" else ""
+        text = "not of the form that is expected" + form
     return Problem(spot, f"{name}: {text}")
 
 
--- a/rushweir/config/text.py
+++ b/rushweir/config/text.py
@@ -21,8 +21,8 @@
     directive: WORD value* (_NL | block)
     block: "{" _NL (_NL | directive)* "}" _NL
     value: WORD | TEXT
-    WORD: /[^\s{}#"]+/
-    TEXT: /"(\\["\\]|[^"\\\n])*"/
+    WORD: /[^\s{}#"\x00-\x1f\x7f]+/
+    TEXT: /"(\\["\\]|[^"\\\x00-\x1f\x7f])*"/
     COMMENT: /#[^\n]*/
     _NL: /\r?\n/
     %ignore /[ \t]+/
--- a/rushweir/fronts/websocket.py
+++ b/rushweir/fronts/websocket.py
@@ -131,6 +131,11 @@
             return
         headers = {name.lower(): value for name, value in request.headers}
         if headers.get(b"upgrade", b"").strip().lower() == b"websocket":
+            if headers.get(b"sec-websocket-version", b"13").strip() != b"13":
+                # RFC 6455, 4.4: the answer says which version would do.
+                more = [("Sec-WebSocket-Version", "13"), ("Upgrade", "websocket")]
+                self._plain(426, "version 13 of the protocol", more)
+                return
             self._upgrade(request, headers.get(b"authorization"))
         else:
             self.state, self.http = HTTP, h11.Connection(h11.SERVER, max_incomplete_event_size=MOST_HEAD)
--- a/rushweir/lab/standins/model.py
+++ b/rushweir/lab/standins/model.py
@@ -82,10 +82,10 @@
     def advance(self, now: float) -> list[object]:
         """Let time pass; the jobs that ended meanwhile, in order."""
         done, self._done = self._done, []
-        while self.running and now > self.now:
+        while self.running:
             rate = self.rate()
             need = (self.running[0][0] - self.virtual) / rate
-            if self.now + need > now + 1e-9:
+            if need > now - self.now + 1e-6:  # less than that is rounding, and would never be caught up with
                 self.virtual += (now - self.now) * rate
                 break
             self.now += max(0.0, need)
