--- a/rushweir/cli/main.py
+++ b/rushweir/cli/main.py
@@ -65,6 +65,38 @@
     sys.exit(play(day, keep, plain))
 
 
+@lab.command("replay")
+@click.argument("file", type=click.Path(path_type=Path))
+@click.option("--scale", type=click.FloatRange(0.01, 1.0), default=1.0, help="Share of the day's size to play.")
+@click.option("--seconds", type=float, help="Play only its first seconds.")
+@click.option("--keep", type=click.Path(path_type=Path), help="Folder for the records; a temporary one if not given.")
+@click.option("--plain", is_flag=True, help="No live table.")
+def lab_replay(file: Path, scale: float, seconds: float | None, keep: Path | None, plain: bool) -> None:
+    """Play a day drawn for the bench (FILE, JSON) through real ingresses and judge it."""
+    from rushweir.lab.replay import ReplayError
+    from rushweir.lab.replay import load as load_day
+    from rushweir.lab.run import play
+
+    try:
+        day = load_day(file, scale, seconds)
+    except ReplayError as problem:
+        click.echo(f"replay: {problem}", err=True)
+        sys.exit(2)
+    sys.exit(play(day, keep, plain))
+
+
+@lab.command("bench")
+@click.argument("parts", nargs=-1, type=click.Choice(["cost", "idle", "soak"]))
+@click.option("--seconds", default=10.0, help="Length of each run of cost.")
+@click.option("--rounds", default=3, help="Runs of each side, in turns.")
+@click.option("--long", "long_s", default=1200.0, help="Length of soak, in seconds.")
+def lab_bench(parts: tuple[str, ...], seconds: float, rounds: int, long_s: float) -> None:
+    """Measure one ingress beside a bare relay: cost and idle, or the PARTS named."""
+    from rushweir.lab.bench import bench
+
+    sys.exit(bench(list(parts) or ["cost", "idle"], seconds, rounds, long_s))
+
+
 @lab.command("check")
 @click.argument("records", type=click.Path(path_type=Path, exists=True, file_okay=False))
 def lab_check(records: Path) -> None:
--- /dev/null
+++ b/rushweir/lab/bench.py
@@ -0,0 +1,289 @@
+"""Measurements of one ingress, in one run beside a bare relay that uses the same library and decides nothing.
+
+CPU is what the process under test used, read from the kernel's account of it (all its threads). Client and
+echo run in processes of their own. Figures are of one machine and of simulated nodes; docs/measurements.md.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import sys
+import tempfile
+import time
+from pathlib import Path
+from typing import Any
+
+import orjson
+from hdrh.histogram import HdrHistogram
+
+from rushweir.lab.day import Day, DayClass, DayNode, DayPlan
+from rushweir.lab.run import Stage
+from rushweir.lab.standins.client import Client, kind
+from rushweir.lab.standins.model import NodeKind
+from rushweir.lab.standins.server import Peer, RpcServer
+from rushweir.link.websocket import Messages, client_protocol
+
+TICKS = os.sysconf("SC_CLK_TCK")
+
+
+def cpu_s(pid: int) -> float:
+    """CPU seconds that a process has used."""
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / TICKS
+
+
+def rss_kb(pid: int) -> int:
+    """Memory of a process in use, KiB."""
+    line = next(x for x in Path(f"/proc/{pid}/status").read_text().splitlines() if x.startswith("VmRSS"))
+    return int(line.split()[1])
+
+
+class Relay(RpcServer):
+    """Passes each message on to one node and each answer back; it looks into neither."""
+
+    def __init__(self, host: str, port: int, path: str) -> None:
+        super().__init__()
+        self.where = (host, port, path)
+        self.reader: asyncio.StreamReader | None = None
+        self.client: Peer | None = None
+
+    async def connect(self) -> None:
+        host, port, path = self.where
+        self.reader, self.writer = await asyncio.open_connection(host, port)
+        self.up = Messages(client_protocol(f"ws://{host}:{port}{path}", 1 << 20))
+        self.up.connect({})
+        self.writer.write(b"".join(self.up.take()[0]))
+        while not self.up.shake(await self.reader.read(65536)):
+            pass
+        self.task = asyncio.create_task(self._back())
+
+    def _read(self, peer: Peer, text: Any) -> None:
+        self.client = peer
+        self.up.send(text)
+        self.writer.write(b"".join(self.up.take()[0]))
+
+    async def _back(self) -> None:
+        while data := await self.reader.read(65536):
+            for text in self.up.receive(data):
+                if self.client is not None:
+                    self.client.send(text)
+
+
+async def _relay(host: str, port: int) -> None:
+    relay = Relay(host, port, "/node")
+    await relay.connect()
+    print(await relay.listen(), flush=True)
+    await asyncio.Event().wait()
+
+
+async def drive(url: str, credential: str, rate: float, seconds: float, clients: int, method: str) -> dict[str, Any]:
+    """An open loop: requests leave at their planned times, and each time is counted from that plan."""
+    people = [await Client().connect(url, credential) for _ in range(clients)]
+    times = HdrHistogram(1, 60_000_000, 3)
+    counts: dict[str, int] = {}
+    loop = asyncio.get_running_loop()
+    start = loop.time() + 0.1
+    waiting: set[asyncio.Future] = set()
+    n = int(rate * seconds)
+    for k in range(n):
+        due = start + k / rate
+        if (pause := due - loop.time()) > 0.0005:
+            await asyncio.sleep(pause)
+        client = people[k % clients]
+        future = client.open[client.send(method, {"data": {"work": 1}})]
+
+        def done(f: asyncio.Future, due: float = due) -> None:
+            waiting.discard(f)
+            if not f.cancelled():
+                what = kind(f.result())
+                counts[what] = counts.get(what, 0) + 1
+                times.record_value(max(1, int((loop.time() - due) * 1e6)))
+
+        waiting.add(future)
+        future.add_done_callback(done)
+    if waiting:
+        await asyncio.wait(waiting, timeout=10)
+    took = loop.time() - start
+    for client in people:
+        await client.end()
+    return {
+        "asked": n, "took_s": took, **counts,
+        "p50_ms": times.get_value_at_percentile(50) / 1000, "p99_ms": times.get_value_at_percentile(99) / 1000,
+    }  # fmt: skip
+
+
+def bench_day(nodes: int) -> Day:
+    """One ingress, nodes that are never short, one partner that may do all."""
+    fast = NodeKind("fast", cores=64, slots=100_000, queue=100_000, knee=100_000.0, cold_ms=0.0)
+    return Day(
+        name="bench", length=3_600_000.0, rooms=("a",), ingress_rooms=("a",),
+        nodes=[DayNode("a", fast, 1.0) for _ in range(nodes)],
+        classes=[DayClass("position", 800.0, 3000.0, repeat="safe", work=1.0)],
+        plans=[DayPlan("wide", 1, 1e6, 1e6)], meter=0.0,
+    )  # fmt: skip
+
+
+class Bench:
+    """One ingress with its nodes, driven by processes beside it."""
+
+    def __init__(self, nodes: int) -> None:
+        self.folder = tempfile.TemporaryDirectory(prefix="rushweir-bench-")
+        self.stage = Stage(bench_day(nodes), Path(self.folder.name))
+
+    async def __aenter__(self) -> Bench:
+        await self.stage.up()
+        self.url, (self.credential,) = self.stage.urls[0], self.stage.credentials.values()
+        self.pid = self.stage.ingresses[0].pid
+        return self
+
+    async def __aexit__(self, *_: Any) -> None:
+        await self.stage.end()
+        self.folder.cleanup()
+
+    async def load(self, pid: int, url: str, rate: float, seconds: float, clients: int = 20) -> dict[str, Any]:
+        """Drive a process; what it did and what it cost."""
+        args = [url, self.credential, str(rate), str(seconds), str(clients)]
+        before, began = cpu_s(pid), time.monotonic()
+        out = await _run("drive", *args)
+        out["cpu_us"] = (cpu_s(pid) - before) * 1e6 / out["asked"]
+        out["busy"] = (cpu_s(pid) - before) / (time.monotonic() - began)
+        return out
+
+    async def relay(self) -> tuple[asyncio.subprocess.Process, str]:
+        host, _, port = self.stage.addresses[0].rpartition(":")
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "rushweir.lab.bench", "relay", host, port, stdout=asyncio.subprocess.PIPE
+        )
+        line = await process.stdout.readline()
+        return process, f"ws://127.0.0.1:{int(line)}/"
+
+
+async def _run(*args: str) -> dict[str, Any]:
+    process = await asyncio.create_subprocess_exec(
+        sys.executable, "-m", "rushweir.lab.bench", *args, stdout=asyncio.subprocess.PIPE
+    )
+    out, _ = await process.communicate()
+    return orjson.loads(out)
+
+
+def module_us(nodes: int, requests: int = 20_000) -> float:
+    """CPU of the decisions alone for a request with its outcome, in this process."""
+    from rushweir import interface as i
+    from rushweir.rules import Policy
+
+    cls = i.RequestClass("position", 800.0, 3000.0, effect=i.Effect.SAFE)
+    settings = i.Settings(0, 1, "a", (cls,), (i.Plan("wide", 1e6, 1e6),), limits=i.Limits(4, cancel=True))
+    policy, now = Policy(settings, 1, 0.0), 0.0
+    policy.start()
+    policy.handle(0.0, i.Members(i.Scope.FULL, tuple(i.Server(f"10.0.0.{k}:80", "a") for k in range(nodes))))
+    began = time.process_time()
+    for k in range(requests):
+        now += 0.5
+        if not k % 200:
+            policy.handle(now, i.Timer(0))
+        for a in policy.handle(now, i.Request(f"r{k}", "position", "wide", "c", now + 3000.0)):
+            if isinstance(a, i.Send):
+                policy.handle(now + 0.4, i.Outcome(a.id, 0, a.server, i.Result.OK, 5.0, True))
+    return (time.process_time() - began) * 1e6 / requests
+
+
+async def cost(nodes: int, rate: float, seconds: float, rounds: int) -> dict[str, Any]:
+    """CPU for each request of the ingress and of the relay, in turns, and the time that the ingress adds."""
+    runs: dict[str, list[dict[str, Any]]] = {"ingress": [], "relay": []}
+    async with Bench(nodes) as b:
+        process, relay = await b.relay()
+        try:
+            await b.load(b.pid, b.url, rate, 2.0)  # warm: the room is learned from what was finished
+            for _ in range(rounds):
+                runs["relay"].append(await b.load(process.pid, relay, rate, seconds))
+                runs["ingress"].append(await b.load(b.pid, b.url, rate, seconds))
+        finally:
+            process.send_signal(signal.SIGTERM)
+            await process.wait()
+    module = [module_us(nodes) for _ in range(rounds)]
+    return {"nodes": nodes, "rate": rate, "runs": runs, "module_us": module}
+
+
+async def idle(connections: int) -> dict[str, Any]:
+    """Memory for each idle connection of a client."""
+    async with Bench(2) as b:
+        first = await Client().connect(b.url, b.credential)
+        await first.ask("position", {"data": {"work": 1}})
+        before, people = rss_kb(b.pid), []
+        for _ in range(connections // 100):
+            people += await asyncio.gather(*(Client().connect(b.url, b.credential) for _ in range(100)))
+        await asyncio.sleep(1.0)
+        after = rss_kb(b.pid)
+        for client in people:
+            await client.end()
+        await first.end()
+    return {"connections": len(people), "kb_each": (after - before) / max(1, len(people))}
+
+
+async def soak(rate: float, seconds: float) -> dict[str, Any]:
+    """Memory over a long stretch at a steady rate, by tenths of it."""
+    async with Bench(9) as b:
+        await b.load(b.pid, b.url, rate, 2.0)
+        marks = []
+        for _ in range(10):
+            out = await b.load(b.pid, b.url, rate, seconds / 10)
+            marks.append({"rss_kb": rss_kb(b.pid), "p99_ms": out["p99_ms"], "served": out.get("served", 0)})
+    return {"rate": rate, "seconds": seconds, "marks": marks}
+
+
+def middle(values: list[float]) -> float:
+    return sorted(values)[len(values) // 2]
+
+
+def bench(parts: list[str], seconds: float, rounds: int, long_s: float) -> int:
+    """Run the parts asked for and print the figures; 1 where a stated aim is missed."""
+    missed = 0
+
+    def say(text: str, ok: bool) -> None:
+        nonlocal missed
+        missed += not ok
+        print(f"{'ok    ' if ok else 'missed'} {text}", flush=True)
+
+    if "cost" in parts:
+        got = asyncio.run(cost(50, 600.0, seconds, rounds))
+        r, g = (middle([x["cpu_us"] for x in got["runs"][w]]) for w in ("relay", "ingress"))
+        m = middle(got["module_us"])
+        spread = []
+        for who in ("relay", "ingress"):
+            each = [x["cpu_us"] for x in got["runs"][who]]
+            spread.append(f"{who} {min(each):.0f} to {max(each):.0f}")
+        figures = f"ingress {g:.0f} us, module {m:.0f} us, relay {r:.0f} us ({', '.join(spread)})"
+        aim = f"aim module + 2 x relay = {m + 2 * r:.0f} us"
+        say(f"CPU a request at {got['rate']:g}/s, {got['nodes']} nodes: {figures}; {aim}", g <= m + 2 * r)
+        full = 1e6 / g
+        print(f"       that is {full:.0f} requests a second for a whole core")
+        got = asyncio.run(cost(50, full / 2, seconds, rounds))
+        p = {w: middle([x["p99_ms"] for x in got["runs"][w]]) for w in ("relay", "ingress")}
+        served = min(x.get("served", 0) / x["asked"] for x in got["runs"]["ingress"])
+        say(f"at half load ({full / 2:.0f}/s) p99: ingress {p['ingress']:.2f} ms, relay {p['relay']:.2f} ms, "
+            f"{served:.1%} served; aim under 5 ms more", p["ingress"] - p["relay"] < 5.0)  # fmt: skip
+    if "idle" in parts:
+        got = asyncio.run(idle(5000))
+        say(f"{got['connections']} idle connections: {got['kb_each']:.1f} KB each; aim under 40", got["kb_each"] < 40)
+    if "soak" in parts:
+        got = asyncio.run(soak(300.0, long_s))
+        marks = got["marks"]
+        grown = marks[-1]["rss_kb"] - marks[2]["rss_kb"]
+        say(f"{got['rate']:g}/s for {got['seconds']:g} s: memory {[m['rss_kb'] for m in marks]} KB; "
+            f"{grown} KB from the third tenth on", grown < 2048)  # fmt: skip
+    return 1 if missed else 0
+
+
+def main() -> None:
+    what, *args = sys.argv[1:]
+    if what == "relay":
+        asyncio.run(_relay(args[0], int(args[1])))
+    elif what == "drive":
+        out = asyncio.run(drive(args[0], args[1], float(args[2]), float(args[3]), int(args[4]), "position"))
+        print(orjson.dumps(out).decode())
+
+
+if __name__ == "__main__":
+    main()
--- a/rushweir/lab/day.py
+++ b/rushweir/lab/day.py
@@ -117,8 +117,15 @@
     heavy: float = 0.1  # share that asks far more
     heavy_x: tuple[float, float] = (2.0, 4.0)
     swing: float = 0.2
+    spiky: float = 0.0  # share that asks far more for seconds, now and then
+    spike_x: tuple[float, float] = (2.0, 6.0)
+    spike_s: tuple[float, float] = (2.0, 4.0)
+    spike_every: float = 20.0  # seconds
+    units: str = "one"  # or by the work of a request, up to most_units
+    most_units: int = 1
     # list, peers, meter, rules
     list_late: float = 500.0  # after a change, until the list tells
+    silent_late: float = 4000.0  # after a machine fell silent
     peer_delay: float = 3.0
     peer_loss: float = 0.03
     meter: float = 2000.0
@@ -208,6 +215,8 @@
         count = whole(words[0]) if words else 0
         day.ingress_rooms = tuple(day.rooms[k % len(day.rooms)] for k in range(count))
     elif d.name == "kind":
+        if not words:
+            raise ValueError("a name")
         fields = _inner(d, _KIND, problems)
         fields["cold_ms"] = fields.pop("cold_time", 8000.0)
         kinds[words[0]] = NodeKind(words[0], **fields)
@@ -218,8 +227,13 @@
             kind, k = kinds[words[1]], len(day.nodes)
             day.nodes.append(DayNode(day.rooms[k % len(day.rooms)], kind, kind.cores * kind.speed))
     elif d.name == "class":
-        day.classes.append(DayClass(words[0], **_inner(d, _CLASS, problems)))
+        fields = _inner(d, _CLASS, problems)
+        if not words or "aim" not in fields or "deadline" not in fields:
+            raise ValueError("a name, and aim and deadline in its block")
+        day.classes.append(DayClass(words[0], **fields))
     elif d.name == "plan":
+        if not words:
+            raise ValueError("a name")
         day.plans.append(DayPlan(words[0], **_inner(d, _PLAN, problems)))
     elif d.name == "rules":
         day.rules |= _inner(d, _RULES, problems)
--- a/rushweir/lab/run.py
+++ b/rushweir/lab/run.py
@@ -222,7 +222,7 @@
                 await self.nodes_up(t.on)
             case "silence":
                 await self.fault(t.on, "silent", True)
-                self.later_listed(t.on, "gone", 4000.0)
+                self.later_listed(t.on, "gone", self.day.silent_late)
                 await self.wait(t.length)
                 await self.tell_fleet({"do": "kill", "nodes": list(t.on)})
                 await self.nodes_up(t.on)
--- a/rushweir/lab/traffic.py
+++ b/rushweir/lab/traffic.py
@@ -56,21 +56,24 @@
         own = random.Random(rng.getrandbits(64))
         asked = quota * (min(habit * scale, 0.95) if habit <= 1 else habit)
         weights, first, count = _weights(day, own, name, k, plan)
+        spikes = _spikes(day, own) if habit <= 1 else []
         t = 0.0
-        most = asked * (1 + day.swing) * max(1.0, *(tr.size for tr in day.troubles if tr.what == "storm"), 1.0)
+        storms = max([tr.size for tr in day.troubles if tr.what == "storm" and concerns(tr.on, name)], default=1.0)
+        most = asked * (1 + day.swing) * max(1.0, storms) * max([x for _, _, x in spikes], default=1.0)
         while True:
             t += own.expovariate(most / 1000)
             if t >= day.length:
                 break
-            if own.random() * most > asked * _wave(day, t) * _storm(day, name, t):
+            spike = max([x for begin, end, x in spikes if begin <= t < end], default=1.0)
+            if own.random() * most > asked * _wave(day, t) * _storm(day, name, t) * spike:
                 continue
             while len(weights) > 1 and t >= weights[0][0]:
                 weights.pop(0)
             cls = own.choices(day.classes, shares)[0]
             door = (first + own.choices(range(count), weights[0][1])[0]) % day.ingresses
-            out.append(
-                Planned(t, name, cls.name, 1.0, _work(own, cls.work, cls.cv), cls.deadline * day.try_share, door)
-            )
+            work = _work(own, cls.work, cls.cv)
+            units = 1.0 if day.units == "one" else float(min(day.most_units, max(1, round(2 * work / mean_work))))
+            out.append(Planned(t, name, cls.name, units, work, cls.deadline * day.try_share, door))
     out.sort(key=lambda p: p.t)
     return out
 
@@ -83,6 +86,17 @@
     return rng.uniform(0.85, 1.0) if kind < day.heavy + day.full else day.calm * rng.uniform(0.6, 1.4)
 
 
+def _spikes(day: Day, rng: random.Random) -> list[tuple[float, float, float]]:
+    """When a partner's tries pile up: from, until, times."""
+    out: list[tuple[float, float, float]] = []
+    if rng.random() < day.spiky:
+        t = rng.expovariate(1 / day.spike_every) * 1000
+        while t < day.length:
+            out.append((t, t + rng.uniform(*day.spike_s) * 1000, rng.uniform(*day.spike_x)))
+            t = out[-1][1] + rng.expovariate(1 / day.spike_every) * 1000
+    return out
+
+
 def _wave(day: Day, t: float) -> float:
     return 1 + day.swing * math.sin(2 * math.pi * t / max(day.length / 2, 1.0))
 
--- a/rushweir/lab/workers.py
+++ b/rushweir/lab/workers.py
@@ -25,7 +25,7 @@
 def unpack_day(o: dict[str, Any]) -> Day:
     day = Day(**{**o, "nodes": [], "classes": [], "plans": [], "troubles": []})
     day.rooms, day.ingress_rooms = tuple(o["rooms"]), tuple(o["ingress_rooms"])
-    day.heavy_x = tuple(o["heavy_x"])
+    day.heavy_x, day.spike_x, day.spike_s = tuple(o["heavy_x"]), tuple(o["spike_x"]), tuple(o["spike_s"])
     day.nodes = [DayNode(**{**n, "kind": NodeKind(**n["kind"])}) for n in o["nodes"]]
     day.classes = [DayClass(**c) for c in o["classes"]]
     day.plans = [DayPlan(**p) for p in o["plans"]]
