--- a/rushweir/ingress/engine.py
+++ b/rushweir/ingress/engine.py
@@ -15,6 +15,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from heapq import heappop, heappush
+from math import ceil
 from typing import Any, Protocol
 
 from rushweir import interface as i
@@ -22,6 +23,7 @@
 from rushweir.ingress.ledger import ANSWER, DONE, LEFT, Entry, Ledger
 
 ENDING_MS = 5.0  # attempts end this long before their request's time, while the policy can still answer in time
+STEP_MS = 4.0  # timers of the policy come in such steps, so that one wake-up serves many
 FAULT_PAUSE_MS = 100.0  # a policy timer whose handling raised comes again after this, at least
 
 
@@ -99,7 +101,11 @@
 
     def next_at(self) -> float | None:
         """When ``advance`` has something to do; None: nothing waits."""
-        return self.timers[0][0] if self.timers else None
+        timers = self.timers
+        # The deadlines of requests that are answered are the bulk of what is set: no need to wake up for them.
+        while timers and timers[0][2] == self._deadline and timers[0][3].state is DONE:
+            heappop(timers)
+        return timers[0][0] if timers else None
 
     def advance(self, now: float) -> None:
         """Let time pass. What becomes due while this runs waits for the next call, as on the bench."""
@@ -284,7 +290,8 @@
             self.out.append(c.CancelAttempt(entry.attempts[action.attempt]))
 
     def _set_timer(self, action: i.SetTimer) -> None:
-        self.at(self.now + max(0.0, action.after_ms), self._timer, action.ref)
+        when = self.now + max(0.0, action.after_ms)
+        self.at(ceil(when / STEP_MS) * STEP_MS, self._timer, action.ref)
 
     def _timer(self, ref: int) -> None:
         self._tell(i.Timer(ref))
--- a/rushweir/lab/bench.py
+++ b/rushweir/lab/bench.py
@@ -133,7 +133,11 @@
         self.stage = Stage(bench_day(nodes), Path(self.folder.name))
 
     async def __aenter__(self) -> Bench:
-        await self.stage.up()
+        try:
+            await self.stage.up()
+        except BaseException:
+            await self.stage.end()
+            raise
         self.url, (self.credential,) = self.stage.urls[0], self.stage.credentials.values()
         self.pid = self.stage.ingresses[0].pid
         return self
--- a/rushweir/state.py
+++ b/rushweir/state.py
@@ -24,7 +24,8 @@
         self.sum, self.at = self.total(now) + amount, now
 
     def total(self, now: float) -> float:
-        return self.sum * math.exp((self.at - now) / self.memory)
+        # Of nothing nothing is left: most rates of failures are none, and are asked for at each choice.
+        return self.sum * math.exp((self.at - now) / self.memory) if self.sum else 0.0
 
     def per_s(self, now: float) -> float:
         return self.total(now) * 1000 / self.memory
@@ -125,7 +126,8 @@
         self.all.add(1, now)
 
     def fail(self, now: float) -> float:
-        return self.bad.total(now) / (1 + self.all.total(now))
+        bad = self.bad.total(now)
+        return bad / (1 + self.all.total(now)) if bad else 0.0
 
 
 class Backend:
