--- a/rushweir/lab/bench.py
+++ b/rushweir/lab/bench.py
@@ -23,7 +23,7 @@
 from rushweir.lab.standins.client import Client, kind
 from rushweir.lab.standins.model import NodeKind
 from rushweir.lab.standins.server import Peer, RpcServer
-from rushweir.link.websocket import Messages, client_protocol
+from rushweir.link.websocket import Messages, client_protocol, server_protocol
 
 TICKS = os.sysconf("SC_CLK_TCK")
 
@@ -41,39 +41,54 @@
 
 
 class Relay(RpcServer):
-    """Passes each message on to one node and each answer back; it looks into neither."""
+    """Passes each message on and each answer back, one connection to the node for each client; it looks into
+    neither. The least that anything in between can do with this library."""
 
     def __init__(self, host: str, port: int, path: str) -> None:
         super().__init__()
         self.where = (host, port, path)
-        self.reader: asyncio.StreamReader | None = None
-        self.client: Peer | None = None
+        self.ups: dict[int, tuple[Messages, asyncio.StreamWriter]] = {}
 
-    async def connect(self) -> None:
+    async def _client(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         host, port, path = self.where
-        self.reader, self.writer = await asyncio.open_connection(host, port)
-        self.up = Messages(client_protocol(f"ws://{host}:{port}{path}", 1 << 20))
-        self.up.connect({})
-        self.writer.write(b"".join(self.up.take()[0]))
-        while not self.up.shake(await self.reader.read(65536)):
+        up_reader, up_writer = await asyncio.open_connection(host, port)
+        up = Messages(client_protocol(f"ws://{host}:{port}{path}", 1 << 20))
+        up.connect({})
+        up_writer.write(b"".join(up.take()[0]))
+        while not up.shake(await up_reader.read(65536)):
             pass
-        self.task = asyncio.create_task(self._back())
-
-    def _read(self, peer: Peer, text: Any) -> None:
-        self.client = peer
-        self.up.send(text)
-        self.writer.write(b"".join(self.up.take()[0]))
+        self.serial += 1
+        peer = Peer(self, writer, self.serial)
+        proto = server_protocol(1 << 20)
+        back = None
+        try:
+            while data := await reader.read(65536):
+                if peer.messages is None:
+                    proto.receive_data(data)
+                    proto.send_response(proto.accept(proto.events_received()[0]))
+                    peer.messages = Messages(proto)
+                    back = asyncio.create_task(self._back(up, up_reader, peer))
+                else:
+                    for text in peer.messages.receive(data):
+                        up.send(text)
+                    up_writer.write(b"".join(up.take()[0]))
+                peer.flush()
+        except (ConnectionError, OSError):
+            pass
+        finally:
+            if back is not None:
+                back.cancel()
+            up_writer.close()
+            writer.close()
 
-    async def _back(self) -> None:
-        while data := await self.reader.read(65536):
-            for text in self.up.receive(data):
-                if self.client is not None:
-                    self.client.send(text)
+    async def _back(self, up: Messages, reader: asyncio.StreamReader, peer: Peer) -> None:
+        while data := await reader.read(65536):
+            for text in up.receive(data):
+                peer.send(text)
 
 
 async def _relay(host: str, port: int) -> None:
     relay = Relay(host, port, "/node")
-    await relay.connect()
     print(await relay.listen(), flush=True)
     await asyncio.Event().wait()
 
--- a/rushweir/rules.py
+++ b/rushweir/rules.py
@@ -282,9 +282,14 @@
         done = min(1.0, max(0.0, now - since) / r.cold_ms) if since and r.cold_ms else 1.0
         return r.cold_share + (1 - r.cold_share) * done
 
-    def fails(self, b: st.Backend, least: float, now: float) -> bool:
-        bar = max(least, STANDS_OUT * self.whole.fail(now))
-        return any(h.fail(now) >= bar for h in b.health)
+    def bar(self, least: float, now: float) -> float:
+        return max(least, STANDS_OUT * self.whole.fail(now))
+
+    def fails(self, b: st.Backend, bar: float, now: float) -> bool:
+        for h in b.health:  # noqa: SIM110 - a generator for each server cost a third of a choice
+            if h.bad.sum and h.fail(now) >= bar:
+                return True
+        return False
 
     def choose(self, now: float, allowed, avoid: set[str]) -> st.Backend | None:
         # Attempts of other gateways are noise that grows with their number: gateways must not herd.
@@ -292,6 +297,7 @@
         sample = self.rng.sample(ready, min(SAMPLE, len(ready)))
         able = {b: b.weight * self.warmth(b, now) for b in sample}
         whole = sum(able.values()) * len(ready) / max(1, len(sample))
+        bar = self.bar(FAIL_OUT, now)
         fair = (self.sent.total(now) + 1) / max(1e-9, whole)  # attempts in the fall window per able weight
         for b in sample:
             # Slow start: a cold server gets its warmth's part of what warm ones of its size get from all.
@@ -301,7 +307,7 @@
             others = self.others * self.rng.expovariate(1.0) + 1 - self.others
             far = 1 if b.entry.zone == self.zone else self.cross
             here = b.slow * b.health[-1].slow.value * (len(b.out) + others) / able[b] * far
-            costs[b] = here + 1e6 * self.fails(b, FAIL_OUT, now) + 1e3 * (b.entry.address in avoid)
+            costs[b] = here + 1e6 * self.fails(b, bar, now) + 1e3 * (b.entry.address in avoid)
         return min(costs, key=costs.get, default=None)
 
     def done(self, e: i.Outcome, usual: float, now: float) -> bool:
@@ -319,7 +325,7 @@
             kind.learn(ratio, SLOW_ALPHA)
         for h in (b.health[0], self.whole, *([] if unanswered else b.health[1:])):
             h.note(e.result not in (i.Result.OK, i.Result.FULL), now)
-        return self.fails(b, FAIL_OUT / 2, now)
+        return self.fails(b, self.bar(FAIL_OUT / 2, now), now)
 
 
 class Policy:
