Records made for each message are no longer frozen

Need: a frozen record costs three times a plain one to make. Ask, Call and Reply are plain now, and the requests of one read are carried out together.

--- a/rushweir/ingress/core.py
+++ b/rushweir/ingress/core.py
@@ -170,7 +170,6 @@
             for ref, ask in client.front.receive(data):
                 assert client.front.partner is not None
                 self.engine.request(now, conn, ref, client.front.partner, ask)
-                self._run()
             if was_head and client.front.state is not HEAD:
                 self._head_done(client)
             client.heard += 1
--- a/rushweir/ingress/engine.py
+++ b/rushweir/ingress/engine.py
@@ -45,7 +45,7 @@
     first: int = 0  # ... counted round from this one
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)  # not frozen: one is made for each request, and freezing triples its cost
 class Ask:
     """A request as a front understood it."""
 
--- a/rushweir/link/rpc.py
+++ b/rushweir/link/rpc.py
@@ -39,7 +39,7 @@
         return error(self.id, self.code, str(self), self.data)
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)  # not frozen, as Reply: one is made for each message, and freezing triples its cost
 class Call:
     """A request; ``id`` is None for a notification, which gets no answer."""
 
@@ -48,7 +48,7 @@
     id: Id | None = None
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Reply:
     """An answer to a request of this side: ``error`` is None when it succeeded."""
 
