--- a/rushweir/rules.py
+++ b/rushweir/rules.py
@@ -104,8 +104,10 @@
         return inside
 
     def wait(self, c: st.Customer, units: float) -> float:
-        store = self.kept.get(c.hash, c.store)
-        return max(0.0, units - store.level) * 1000 / (c.plan.rate * c.share + 1e-9) * (c.plan.rate > 0)
+        store, p = self.kept.get(c.hash, c.store), c.plan
+        quota = max(0.0, units - store.level) * 1000 / (p.rate * c.share + 1e-9) * (p.rate > 0)
+        # The own part of a ceiling fills by itself; no advice at all would bring the try back at once, in vain.
+        return max(quota, max(0.0, units - c.ceiling) * 1000 * c.doors / p.ceiling_rate if p.ceiling_rate else 0.0)
 
     def settle(self, t: st.Ticket, more: float, over: bool) -> None:
         c = t.c
--- a/tests/test_found.py
+++ b/tests/test_found.py
@@ -175,3 +175,12 @@
     advice = [a.stay_away_ms for a in answers if isinstance(a, i.Refuse)]
     assert len(advice) > 30
     assert all(0 < ms <= 200.0 for ms in advice)  # the time in flight of its class at most
+
+
+def test_a_try_over_the_ceiling_is_told_when_its_part_has_filled(gateway):
+    """A refusal for the ceiling advised nothing, so tries came back at once, in vain."""
+    _, first = gateway.ask("capped")  # 20 units a second, and nothing has filled yet
+    assert isinstance(first, i.Refuse)
+    assert (first.why, first.stay_away_ms) == ("ceiling", 50.0)
+    gateway.now += 50.0
+    assert isinstance(gateway.ask("capped")[1], i.Send)
