--- a/rushweir/lab/run.py
+++ b/rushweir/lab/run.py
@@ -26,7 +26,7 @@
 from rich.table import Table
 
 from rushweir.fronts.credentials import digest, new_credential
-from rushweir.lab.day import Day, Trouble
+from rushweir.lab.day import TROUBLES, Day, Trouble
 from rushweir.lab.records import Recorder, clock
 from rushweir.lab.report import report
 from rushweir.lab.standins.counter import CounterStandIn
@@ -200,7 +200,7 @@
 
     async def trouble(self, t: Trouble) -> None:
         """One trouble from its begin to its end."""
-        words = f"{t.what} {' '.join(str(x) for x in t.on)}".strip()
+        words = " ".join((t.what, TROUBLES[t.what][0], *(str(x) for x in t.on)))
         self.say(words + (f" for {t.length / 1000:g} s" if t.length else ""))
         match t.what:
             case "drain":
@@ -243,6 +243,8 @@
                 self.net.extra_loss, self.net.doubled = t.size, t.size / 2
                 await self.wait(t.length)
                 self.net.extra_loss = self.net.doubled = 0.0
+            case "storm":
+                await self.wait(t.length)  # the crowd's plan has it
             case "break":
                 self.list.broken = int(t.size)
         if t.length:
