--- a/rushweir/lab/workers.py
+++ b/rushweir/lab/workers.py
@@ -10,9 +10,9 @@
 
 import orjson
 
-from rushweir.lab.crowd import Crowd
 from rushweir.lab.day import Day, DayClass, DayNode, DayPlan, Trouble
 from rushweir.lab.records import Recorder
+from rushweir.lab.standins.crowd import Crowd
 from rushweir.lab.standins.model import Meter, NodeKind
 from rushweir.lab.standins.node import Fleet
 from rushweir.lab.traffic import Planned
--- a/tests/test_found.py
+++ b/tests/test_found.py
@@ -187,6 +187,6 @@
 
 
 def test_attempts_sent_to_warm_servers_do_not_pile_up(gateway):
-    """They were forgotten only where a server was cold: 36 bytes a request for ever, seen in a soak of the ingress."""
+    """They were forgotten only where a server was cold: 36 bytes a request for ever, seen in a soak."""
     gateway.serve(600, spent=50.0)
     assert max(len(b.sent) for b in gateway.policy.fleet.servers.values()) <= 1500 / 50 + 1
