--- a/rushweir/ingress/commands.py
+++ b/rushweir/ingress/commands.py
@@ -5,8 +5,6 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from rushweir import interface as i
-
 # --- the engine to the core -----------------------------------------------------------------------
 
 
@@ -157,5 +155,5 @@
 __all__ = [
     "AbortConn", "Answer", "Attempt", "CallCounter", "CancelAttempt", "CloseConn", "Command", "Datagram",
     "Dial", "ExpireAttempt", "FetchList", "Kind", "Order", "PauseReading", "ProbeNode", "Remark", "SaveList",
-    "SendAttempt", "TellPeer", "WatchList", "Write", "i",
+    "SendAttempt", "TellPeer", "WatchList", "Write",
 ]  # fmt: skip
--- a/tests/ingress/test_hard_cases.py
+++ b/tests/ingress/test_hard_cases.py
@@ -363,10 +363,7 @@
         replies = await asyncio.gather(*futures)
         assert Counter(why(r) for r in replies)["ingress_full"] == 4
 
-    settings = None
-
     async def limited(p):
-        nonlocal settings
         p.settings = with_limits(p.settings, max_open=4)
         await body(p)
 
--- a/tests/lab/test_hold.py
+++ b/tests/lab/test_hold.py
@@ -30,12 +30,11 @@
                     reply = await client.ask("booking", {"key": "k1", "within_ms": 2000, "data": {"work": 5}})
                 assert kind(reply) == "served", reply
                 await client.close()
-            process.send_signal(signal.SIGINT)
-            assert await asyncio.wait_for(process.wait(), 30) == 0
         finally:
-            if process.returncode is None:
-                process.kill()
-                await process.wait()
+            # It ends what it started; killed outright it would leave its fleet behind.
+            process.send_signal(signal.SIGINT)
+            code = await asyncio.wait_for(process.wait(), 30)
+        assert code == 0
 
     asyncio.run(main())
 
