Read again: settings and fields that nothing used go; one way to judge records

A test waited for the number of attempts where it meant requests, so a repeat on a slow machine made it wait in vain; its assertions are as they were.

--- a/rushweir/cli/main.py
+++ b/rushweir/cli/main.py
@@ -101,14 +101,6 @@
 @click.argument("records", type=click.Path(path_type=Path, exists=True, file_okay=False))
 def lab_check(records: Path) -> None:
     """Judge the RECORDS of a day, a folder, by the five rules."""
-    from rushweir.lab.checker import check
-    from rushweir.lab.records import read_all
+    from rushweir.lab.checker import judge
 
-    try:
-        found = read_all(records)
-        verdict = check(found)
-    except (OSError, ValueError) as problem:
-        click.echo(f"check: {problem}", err=True)
-        sys.exit(2)
-    click.echo("\n".join(verdict.lines(found[0]["t"])))
-    sys.exit(0 if verdict.kept else 1)
+    sys.exit(judge(records))
--- a/rushweir/lab/checker.py
+++ b/rushweir/lab/checker.py
@@ -300,19 +300,20 @@
             verdict.add(5, a["t"], f"partner {a['partner']}: {-level:.1f} units beyond its ceiling")
 
 
-def main() -> int:
-    if len(sys.argv) != 2:
-        print("usage: python -m rushweir.lab.checker FOLDER", file=sys.stderr)
-        return 2
+def judge(folder: Path) -> int:
+    """Judge the records in a folder and print the verdict; returns the exit code."""
     try:
-        records = read_all(Path(sys.argv[1]))
+        records = read_all(folder)
         verdict = check(records)
     except (OSError, ValueError) as problem:
-        print(f"checker: {problem}", file=sys.stderr)
+        print(f"check: {problem}", file=sys.stderr)
         return 2
     print("\n".join(verdict.lines(records[0]["t"])))
     return 0 if verdict.kept else 1
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    if len(sys.argv) != 2:
+        print("usage: python -m rushweir.lab.checker FOLDER", file=sys.stderr)
+        sys.exit(2)
+    sys.exit(judge(Path(sys.argv[1])))
--- a/rushweir/lab/standins/client.py
+++ b/rushweir/lab/standins/client.py
@@ -8,7 +8,7 @@
 from typing import Any
 from urllib.parse import urlsplit
 
-from rushweir.lab.records import Recorder, clock
+from rushweir.lab.records import Recorder
 from rushweir.link import rpc
 from rushweir.link.websocket import Messages, client_protocol
 
@@ -164,7 +164,3 @@
 def why(reply: rpc.Reply) -> str:
     data = reply.error.get("data") if reply.error is not None else None
     return str(data.get("reason", "")) if isinstance(data, dict) else ""
-
-
-def now() -> float:
-    return clock()
--- a/rushweir/lab/standins/crowd.py
+++ b/rushweir/lab/standins/crowd.py
@@ -19,7 +19,6 @@
 from rushweir.lab.traffic import Planned, concerns, doors, schedule
 
 RECONNECT_MS = (100.0, 1500.0)
-MOST_WAITING = 20_000  # tries that wait for their pause
 
 
 @dataclass(slots=True)
--- a/rushweir/link/websocket.py
+++ b/rushweir/link/websocket.py
@@ -59,7 +59,7 @@
     A peer that breaks the protocol is failed with the code of RFC 6455, 7.4.1, and nothing more is read.
     """
 
-    __slots__ = ("closed_by_peer", "decoder", "early", "eof", "heard", "parts", "proto")
+    __slots__ = ("decoder", "early", "eof", "heard", "parts", "proto")
 
     def __init__(self, proto: Protocol) -> None:
         self.proto = proto
@@ -67,7 +67,6 @@
         self.decoder = None  # set while a fragmented message is open
         self.eof = False
         self.heard = 0  # frames of any kind, pongs too: shows that the peer lives
-        self.closed_by_peer = False
         self.early: list[Frame] = []  # frames that came in one read with the handshake's response
 
     def connect(self, headers: dict[str, str]) -> None:
@@ -83,9 +82,9 @@
         self.proto.receive_data(data)
         events = self.proto.events_received()
         self.early = [e for e in events if isinstance(e, Frame)]
-        if len(self.early) < len(events):
-            return self.open or None if self.proto.handshake_exc is None else False
-        return None if self.proto.handshake_exc is None else False
+        if self.proto.handshake_exc is not None:
+            return False
+        return True if self.open else None
 
     @property
     def open(self) -> bool:
@@ -120,8 +119,6 @@
             elif opcode is Opcode.BINARY:
                 # JSON-RPC is text; 1003 is for "a type of data it cannot accept" (RFC 6455, 7.4.1).
                 self.fail(CloseCode.UNSUPPORTED_DATA, "text messages only")
-            elif opcode is Opcode.CLOSE:
-                self.closed_by_peer = self.proto.close_rcvd_then_sent is not False
             if not self.open:
                 break
         return found
--- a/rushweir/nodes/pool.py
+++ b/rushweir/nodes/pool.py
@@ -42,7 +42,6 @@
     grace_ms: float = 1_000.0  # after a node drains or is gone, nothing more is written to it
     max_message: int = 1_048_576
     path: str = "/node"
-    most_late_per_node: int = 2048
 
 
 class Link:
--- a/tests/ingress/test_hard_cases.py
+++ b/tests/ingress/test_hard_cases.py
@@ -48,7 +48,8 @@
         await p.start()
         clients = await asyncio.gather(*(p.client() for _ in range(200)))
         futures = [c.open[c.send("booking", {"data": {"work": 400}})] for c in clients]
-        await p.until(lambda: len(p.arrivals()) == 200)
+        # Requests, not attempts: on a slow machine one may be taken for lost, and repeated in its room.
+        await p.until(lambda: len({a["req"] for a in p.arrivals()}) == 200)
         drained = p.fleet.nodes[0]
         assert p.arrivals(node=drained.address), "work rides on it"
         p.list.set(drained.address, "draining")
