Settings: include, config check, show and diff, the origin of each, networks that may connect

One file for 10,000 partners is no way to work, and nobody could say which line a setting came from. Includes stand in place, errors name the included file; show prints a file that means the same; diff compares what holds. Clients and nodes may be held to networks, the longest prefix decides.

--- a/rushweir/cli/main.py
+++ b/rushweir/cli/main.py
@@ -6,6 +6,7 @@
 from pathlib import Path
 
 import click
+import orjson
 
 from rushweir.config import ConfigError, load
 
@@ -23,12 +24,72 @@
     """Run one ingress with the settings in FILE, until SIGTERM."""
     from rushweir.cli.serve import serve as run
 
+    sys.exit(run(_load(file), log == "json"))
+
+
+@main.group()
+def config() -> None:
+    """Settings: check them, show what holds and where it came from, compare two files."""
+
+
+def _load(file: Path):
+    """Settings from a file; errors go to standard error and end the program with 2."""
     try:
-        config = load(file)
+        return load(file)
     except ConfigError as problem:
         click.echo(str(problem), err=True)
         sys.exit(2)
-    sys.exit(run(config, log == "json"))
+
+
+FILE = click.argument("file", type=click.Path(path_type=Path, dir_okay=False))
+AS_JSON = click.option("--json", "as_json", is_flag=True, help="For programs.")
+
+
+@config.command("check")
+@FILE
+def config_check(file: Path) -> None:
+    """Say whether FILE can be served; all its errors at once."""
+    found = _load(file)
+    click.echo(f"{file}: good; {len(found.files)} files, {len(found.file.partners)} partners")
+
+
+@config.command("show")
+@FILE
+@click.option("--given", is_flag=True, help="Leave the defaults out.")
+@AS_JSON
+def config_show(file: Path, given: bool, as_json: bool) -> None:
+    """Every setting that holds with FILE, and where each came from."""
+    from rushweir.config.show import as_rows, show
+
+    settings = list(_load(file).effective())
+    if as_json:
+        click.echo(orjson.dumps(as_rows(s for s in settings if s.spot or not given), option=orjson.OPT_INDENT_2))
+    else:
+        click.echo(show(settings, not given))
+
+
+@config.command("diff")
+@click.argument("old", type=click.Path(path_type=Path, dir_okay=False))
+@click.argument("new", type=click.Path(path_type=Path, dir_okay=False))
+@AS_JSON
+def config_diff(old: Path, new: Path, as_json: bool) -> None:
+    """What NEW changes of OLD, defaults resolved. Exit code 1 where they differ."""
+    from rushweir.config.show import as_rows, differ
+
+    changes = differ(as_rows(_load(old).effective()), as_rows(_load(new).effective()))
+    if as_json:
+        click.echo(orjson.dumps(changes, option=orjson.OPT_INDENT_2))
+    else:
+        tell_changes(changes)
+    sys.exit(bool(changes))
+
+
+def tell_changes(changes: list[dict]) -> None:
+    for c in changes:
+        name = " ".join(c["path"])
+        for sign, words in (("-", c["before"]), ("+", c["after"])):
+            if words is not None:
+                click.echo(f"{sign} {name} {' '.join(words)}" + (f"    # {c['origin']}" if sign == "+" else ""))
 
 
 @main.command()
--- a/rushweir/config/load.py
+++ b/rushweir/config/load.py
@@ -3,26 +3,40 @@
 from __future__ import annotations
 
 import os
+import re
 import stat
-from dataclasses import dataclass
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from glob import has_magic
 from pathlib import Path
 from types import UnionType
 from typing import Any, get_args, get_origin
 
-from pydantic import BaseModel, ValidationError
+from pydantic import BaseModel, BeforeValidator, ValidationError
 
 from rushweir import interface as i
 from rushweir.config import models as m
 from rushweir.config.text import ConfigError, Directive, Problem, Spot, parse
+from rushweir.config.values import words
 from rushweir.fronts.credentials import Credentials
 from rushweir.fronts.websocket import FrontSettings
 from rushweir.ingress.core import Setup
 from rushweir.ingress.engine import Partner
+from rushweir.link.networks import AddressSet
 from rushweir.nodes.pool import PoolSettings
 
 NAMED = {"class": "classes", "plan": "plans", "partner": "partners"}  # blocks that stand once for each name
 
 
+@dataclass(frozen=True, slots=True)
+class Setting:
+    """One setting that holds: its blocks and name, its words, and where it was read; None: a default."""
+
+    path: tuple[str, ...]
+    words: tuple[str, ...]
+    spot: Spot | None
+
+
 @dataclass(frozen=True, slots=True)
 class Config:
     """Settings, checked."""
@@ -30,6 +44,12 @@
     file: m.File
     base: Path  # what paths in it are relative to
     peer_key: bytes | None = None
+    spots: dict[tuple, Spot] = field(default_factory=dict, repr=False)  # where each setting was read
+    files: tuple[Path, ...] = ()  # the file, and what it includes
+
+    def effective(self) -> Iterator[Setting]:
+        """Every setting that holds, defaults too, in the order of the models."""
+        return _effective(self.file, (), self.spots)
 
     @property
     def listen(self) -> tuple[str, int]:
@@ -106,9 +126,15 @@
             seed=seed,
             boot=boot,
             most_clients=f.clients.connections,
+            client_networks=AddressSet(f.clients.allow, f.clients.deny),
+            node_networks=AddressSet(f.nodes.allow, f.nodes.deny),
         )  # fmt: skip
 
 
+MOST_FILES = 1_000  # read for one configuration
+MOST_NESTED = 8  # includes within includes
+
+
 def load(path: Path) -> Config:
     """Read a settings file. Raises ConfigError, also where it can't be read."""
     try:
@@ -119,9 +145,12 @@
 
 
 def load_text(text: str, name: str, base: Path) -> Config:
-    directives = parse(text, name)
-    lines = {name: text.splitlines()}
-    problems: list[Problem] = []
+    """Settings from a text; ``name`` stands in errors, ``base`` is what paths are relative to."""
+    reader = _Reader(base)
+    directives = reader.read(text, name, base, ())
+    problems = reader.problems
+    if problems:  # what a missing or broken part would have said would be told as missing, all of it
+        raise ConfigError(problems, reader.lines)
     spots: dict[tuple, Spot] = {}
     raw = _block(m.File, directives, (), spots, problems, top=True)
     file: m.File | None = None
@@ -134,8 +163,101 @@
         problems += _across(file, spots)
     key = _key(file.peers, base, spots, problems) if file is not None and file.peers else None
     if problems or file is None:
-        raise ConfigError(list(dict.fromkeys(p for p in problems if p.text)), lines)
-    return Config(file, base, key)
+        raise ConfigError(list(dict.fromkeys(p for p in problems if p.text)), reader.lines)
+    return Config(file, base, key, spots, (Path(name), *reader.files))
+
+
+class _Reader:
+    """Parses files, and puts what they include in the place of the ``include``."""
+
+    def __init__(self, base: Path) -> None:
+        self.base = base
+        self.files: list[Path] = []
+        self.lines: dict[str, list[str]] = {}
+        self.problems: list[Problem] = []
+
+    def read(self, text: str, name: str, folder: Path, inside: tuple[Path, ...]) -> list[Directive]:
+        self.lines[name] = text.splitlines()
+        try:
+            found = parse(text, name)
+        except ConfigError as bad:
+            self.problems += bad.problems
+            return []
+        return self._expand(found, folder, inside)
+
+    def _expand(self, directives: list[Directive], folder: Path, inside: tuple[Path, ...]) -> list[Directive]:
+        out: list[Directive] = []
+        for d in directives:
+            if d.name == "include":
+                out += self._include(d, folder, inside)
+                continue
+            if d.inner is not None:
+                d.inner = self._expand(d.inner, folder, inside)
+            out.append(d)
+        return out
+
+    def _include(self, d: Directive, folder: Path, inside: tuple[Path, ...]) -> list[Directive]:
+        """Paths are relative to the file that includes; of a pattern the files come in the order of their
+        names, and a pattern that matches none is an empty folder, no error."""
+        if len(d.values) != 1 or d.inner is not None:
+            return self._bad(d.spot, "include: one file, or a pattern such as partners/*.conf")
+        word, out = d.values[0].text, []
+        try:
+            paths = sorted(folder.glob(word)) if has_magic(word) else [folder / word]
+        except (NotImplementedError, ValueError):
+            return self._bad(d.at(0), "include: a pattern is relative to this file's folder")
+        for path in paths:
+            real = path.resolve()
+            if real in inside:
+                return self._bad(d.at(0), f"include: {path} includes itself")
+            if len(inside) >= MOST_NESTED or len(self.files) >= MOST_FILES:
+                return self._bad(d.at(0), f"include: {MOST_NESTED} deep and {MOST_FILES} files at most")
+            self.files.append(path)
+            try:
+                text = path.read_text(encoding="utf-8")
+            except (OSError, UnicodeDecodeError) as problem:
+                return self._bad(d.at(0), f"include: {path} can't be read: {problem}")
+            out += self.read(text, str(path), path.parent, (*inside, real))
+        return out
+
+    def _bad(self, spot: Spot, text: str) -> list[Directive]:
+        self.problems.append(Problem(spot, text))
+        return []
+
+
+def _effective(block: BaseModel, where: tuple, spots: dict[tuple, Spot]) -> Iterator[Setting]:
+    for name, info in type(block).model_fields.items():
+        value, path = getattr(block, name), (*where, name)
+        if isinstance(value, BaseModel):
+            yield from _effective(value, path, spots)
+        elif isinstance(value, dict):
+            for key, inner in value.items():
+                yield from _effective(inner, (*path, key), spots)
+        elif value is not None:
+            read = next((x.func for x in info.metadata if isinstance(x, BeforeValidator)), None)
+            if read is None and isinstance(value, float):
+                read = _reader_of(info.annotation)
+            lines = enumerate(value) if _stands(info) == "values" else [(None, value)]
+            for k, v in lines:
+                given = tuple(words(v, read))
+                if given and given != ("",):
+                    yield Setting(_named_path(path), given, spots.get(path if k is None else (*path, k)))
+
+
+def _reader_of(kind: Any) -> Any:
+    return next((x.func for x in getattr(kind, "__metadata__", ()) if isinstance(x, BeforeValidator)), None)
+
+
+def _named_path(path: tuple) -> tuple[str, ...]:
+    """The path as it is written: ``partners``, ``NAME``, ``plan`` is ``partner NAME``, ``plan``."""
+    single = {group: word for word, group in NAMED.items()}
+    if path[0] in single and len(path) > 1:
+        return (single[path[0]], str(path[1]), *(str(x).replace("_", "-") for x in path[2:]))
+    return tuple(str(x).replace("_", "-") for x in path)
+
+
+def _stands(info: Any) -> str:
+    return (info.json_schema_extra or {}).get("lines", "")
 
 
 def _block(
@@ -159,13 +281,14 @@
             continue
         path = (*where, name)
         kind = model.model_fields[name].annotation
-        several = name == "peer"
-        if path in spots and not several:
+        stands = _stands(model.model_fields[name])
+        if path in spots and not stands:
             problems.append(Problem(d.spot, f"{d.name}: stands twice, first in line {spots[path].line}"))
             continue
-        spots[path] = d.spot
+        spots.setdefault(path, d.spot)
+        first = len(raw.get(name, ())) if stands == "words" else 0
         for k in range(len(d.values)):
-            spots[(*path, k)] = d.at(k)
+            spots[(*path, first + k)] = d.at(k)
         inner = _model(kind)
         if inner is not None:
             if d.inner is None or d.values:
@@ -175,7 +298,11 @@
                 raw[name] = _block(inner, d.inner, path, spots, problems)
         elif d.inner is not None:
             problems.append(Problem(d.spot, f"{d.name}: takes no block"))
-        elif several:
+        elif stands == "words":
+            if not d.values:
+                problems.append(Problem(d.spot, f"{d.name}: one value at least is expected"))
+            raw[name] = (*raw.get(name, ()), *(v.text for v in d.values))
+        elif stands:
             spots[(*path, len(raw.get(name, ())))] = d.spot
             raw[name] = (*raw.get(name, ()), tuple(v.text for v in d.values))
         elif get_origin(kind) is tuple and not model.model_fields[name].metadata:
@@ -227,7 +354,8 @@
             return Problem(spot, "")
         text = "is missing"
     elif e["type"] == "value_error":
-        text = f"expected {text}" if not text.startswith(("aim", "window", "burst", "ceiling")) else text
+        # A block's own complaint names its directive; a value's only says what was expected.
+        text = text if re.match(r"[a-z-]+: ", text) else f"expected {text}"
     elif e["type"] == "string_pattern_mismatch":
         form = ": sha256: and 64 hex digits" if path[-1] == "credential" else ""
         text = "not of the form that is expected" + form
@@ -253,6 +381,11 @@
             out.append(
                 Problem(spots[(*path, "credential")], f"partner {name}: the credential is that of {other}")
             )
+    for block, networks in (("clients", f.clients), ("nodes", f.nodes)):
+        if both := set(networks.allow) & set(networks.deny):
+            worst = min(both, key=str)
+            spot = spots[(block, "deny", networks.deny.index(worst))]
+            out.append(Problem(spot, f"{block}: {worst} is both allowed and denied"))
     for k, (number, _) in enumerate(f.peers.peer if f.peers else ()):
         if number >= count or number == me:
             out.append(Problem(spots[("peers", "peer", k)], f"peer {number}: no such peer of ingress {me}"))
--- a/rushweir/config/models.py
+++ b/rushweir/config/models.py
@@ -1,5 +1,5 @@
 """What may stand in a settings file: a typed model for each block. A field is a directive of the same name,
-with ``-`` for ``_``; a tuple takes several words; docs/settings.md describes each."""
+with ``-`` for ``_``; a tuple takes several words; docs/operators/ingress.md describes each."""
 
 from __future__ import annotations
 
@@ -7,10 +7,16 @@
 
 from pydantic import BaseModel, ConfigDict, Field, model_validator
 
-from rushweir.config.values import Address, Duration, Number, Rate, Size, Switch, WebAddress, Whole
+from rushweir.config.values import Address, Duration, Net, Number, Rate, Size, Switch, WebAddress, Whole
 
 Name = Annotated[str, Field(min_length=1, max_length=128, pattern=r"^[^\x00-\x1f\x7f]+$")]
 Share = Annotated[Number, Field(ge=0, le=1)]
+Path = Annotated[str, Field(min_length=1, max_length=1024)]
+Level = Literal["debug", "info", "warning", "error"]
+
+# How often a directive may stand in its block: once, or on several lines, each a value or each some of the values.
+EACH_LINE, EACH_WORD = {"lines": "values"}, {"lines": "words"}
+Networks = Annotated[tuple[Net, ...], Field(json_schema_extra=EACH_WORD)]
 
 
 class Block(BaseModel):
@@ -96,6 +102,8 @@
     ping: Duration = 30_000.0
     unread: Duration = 10_000.0
     margin: Duration = 25.0
+    allow: Networks = ()
+    deny: Networks = ()
 
 
 class NodesBlock(Block):
@@ -107,13 +115,15 @@
     probe_timeout: Duration = 250.0
     weights: Literal["off", "nominal", "rough", "live"] = "off"
     path: Annotated[str, Field(pattern=r"^/\S*$")] = "/node"
+    allow: Networks = ()
+    deny: Networks = ()
 
 
 class PeersBlock(Block):
     bind: Address
     key_file: str
     rate: Rate = 60.0
-    peer: tuple[tuple[Whole, Address], ...] = ()
+    peer: Annotated[tuple[tuple[Whole, Address], ...], Field(json_schema_extra=EACH_LINE)] = ()
 
 
 class ListBlock(Block):
@@ -130,6 +140,52 @@
     cross_zone: Number = 0.0
 
 
+class LogBlock(Block):
+    """``log``: of each cause so many events a second are written, after a first few; the rest are counted."""
+
+    level: Level = "info"
+    form: Literal["text", "json"] = "text"
+    each_cause: Annotated[Rate, Field(gt=0)] = 2.0
+    at_once: Annotated[Whole, Field(ge=1)] = 20
+
+
+class TraceBlock(Block):
+    """``trace``: of how many requests the course is kept; those that failed or came late always are."""
+
+    sample: Share = 0.01
+    keep: Annotated[Whole, Field(ge=1, le=100_000)] = 2_000
+
+
+class ControlBlock(Block):
+    """``control``: the Unix socket for the operators' commands."""
+
+    socket: Path
+    mode: Literal["600", "660"] = "600"
+
+
+class ConsoleBlock(Block):
+    """``console``: the web pages."""
+
+    listen: Address
+    users_file: Path
+    session: Annotated[Duration, Field(gt=0)] = 12 * 3_600_000.0
+    viewers: Annotated[Whole, Field(ge=1)] = 50
+    metrics: Switch = True
+
+
+class OverloadBlock(Block):
+    """``overload``: how late this process's own turns may come before it sheds."""
+
+    delay: Annotated[Duration, Field(gt=0)] = 60.0
+    most: Annotated[Duration, Field(gt=0)] = 400.0
+
+    @model_validator(mode="after")
+    def _fits(self) -> OverloadBlock:
+        if self.most <= self.delay:
+            raise ValueError("delay: below most")
+        return self
+
+
 class File(Block):
     """A whole settings file."""
 
@@ -138,6 +194,7 @@
     listen: Address
     path: Annotated[str, Field(pattern=r"^/\S*$")] = "/"
     state: str = ""  # a folder; nothing is kept without one
+    stop: Duration = 5_000.0  # how long what is open is waited for at the end
     settles: Switch = False
     meter: Duration = 0.0
     list: ListBlock
@@ -148,6 +205,11 @@
     clients: ClientsBlock = ClientsBlock()
     nodes: NodesBlock = NodesBlock()
     prices: PricesBlock = PricesBlock()
+    log: LogBlock = LogBlock()
+    trace: TraceBlock = TraceBlock()
+    control: ControlBlock | None = None
+    console: ConsoleBlock | None = None
+    overload: OverloadBlock = OverloadBlock()
     classes: dict[Name, ClassBlock]
     plans: dict[Name, PlanBlock]
     partners: dict[Name, PartnerBlock] = {}
--- a/rushweir/config/values.py
+++ b/rushweir/config/values.py
@@ -10,6 +10,8 @@
 
 from pydantic import BeforeValidator
 
+from rushweir.link.networks import network
+
 TIMES = {"ms": 1.0, "s": 1000.0, "m": 60_000.0, "h": 3_600_000.0}
 SIZES = {"": 1, "k": 1024, "m": 1024**2, "g": 1024**3}
 
@@ -83,3 +85,22 @@
 WebAddress = Annotated[str, BeforeValidator(web_address)]
 Number = Annotated[float, BeforeValidator(number)]
 Whole = Annotated[int, BeforeValidator(whole)]
+Net = Annotated[Any, BeforeValidator(network)]
+
+
+def words(value: Any, read: Any) -> list[str]:
+    """A value as the words that ``read``, one of the functions above, takes; None: text, or several values."""
+    if read is duration:
+        return [f"{value:.12g}ms"]
+    if read is rate:
+        return [f"{value:.12g}/s"]
+    if isinstance(value, bool):
+        return ["on" if value else "off"]
+    if isinstance(value, float):
+        return [f"{value:.12g}"]
+    if isinstance(value, tuple):
+        if len(value) == 2 and isinstance(value[0], str):
+            host, port = value
+            return [f"[{host}]:{port}" if ":" in host else f"{host}:{port}"]
+        return [w for v in value for w in words(v, None)]
+    return [str(value)]
--- a/rushweir/fronts/websocket.py
+++ b/rushweir/fronts/websocket.py
@@ -363,6 +363,10 @@
         """Answer a connection that there is no room for, before it says anything."""
         self._plain(503, "no room for more connections", [("Retry-After", "1")])
 
+    def forbid(self) -> None:
+        """Answer a connection from a network that none is taken from."""
+        self._plain(403, "no connections are taken from this network")
+
     def time_out(self) -> None:
         """The request head did not come in time (RFC 9110, 15.5.9)."""
         self._plain(408, "the request head took too long")
--- a/rushweir/ingress/core.py
+++ b/rushweir/ingress/core.py
@@ -25,6 +25,7 @@
 from rushweir.fronts.websocket import CLOSING, HEAD, HTTP, ClientConnection, FrontSettings
 from rushweir.ingress import commands as c
 from rushweir.ingress.engine import Decides, Engine
+from rushweir.link.networks import AddressSet
 from rushweir.link.upstream import Upstream
 from rushweir.nodes.pool import Ended, Pool, PoolSettings
 from rushweir.peers.datagram import Peers
@@ -51,6 +52,8 @@
     seed: int = 0
     boot: str = ""
     most_clients: int = MOST_CLIENTS
+    client_networks: AddressSet = field(default_factory=AddressSet)  # that may connect
+    node_networks: AddressSet = field(default_factory=AddressSet)  # that nodes may stand in
 
 
 @dataclass(slots=True)
@@ -143,8 +146,8 @@
 
     # --- clients ---------------------------------------------------------------------------------
 
-    def accepted(self, now: float) -> int:
-        """A client connected; returns the connection's number."""
+    def accepted(self, now: float, address: str = "") -> int:
+        """A client connected from an address; returns the connection's number."""
         self._at(now)
         conn = self._new_conn(None)
         front = ClientConnection(self.setup.front, lambda: self.setup.credentials, self.health)
@@ -155,6 +158,11 @@
             front.turn_away()
             self._flush(client)
             self._run()
+        elif address and not self.setup.client_networks.allows(address):
+            self.counts["strange_networks"] += 1
+            front.forbid()
+            self._flush(client)
+            self._run()
         else:
             self.engine.at(now + self.setup.handshake_ms, self._head_late, client)
         return conn
@@ -338,6 +346,7 @@
 
     def _take_update(self, update: Update) -> None:
         """Put an update to the policy and the pool, at the moment when it was read, and keep the list."""
+        update = self._known_networks(update)
         self.engine.members(self.now, update.scope, update.servers)
         if update.scope is i.Scope.FAILED:
             self.counts["list_failed"] += 1
@@ -348,6 +357,22 @@
             self.listed_at = self.now
             self.orders.append(c.SaveList(kept.dump(self.held, self.now)))
 
+    def _known_networks(self, update: Update) -> Update:
+        """An update without the nodes outside the networks where nodes may stand: a list that names them is
+        wrong or altered, and the others are still needed."""
+        allows, networks = self.setup.node_networks.allows, self.setup.node_networks
+        if not networks.size:
+            return update
+        strange, known = [], []
+        for s in update.servers:
+            (known if allows(s.address.rpartition(":")[0].strip("[]")) else strange).append(s)
+        if not strange:
+            return update
+        self.counts["strange_nodes"] += len(strange)
+        fields = {"count": len(strange), "first": strange[0].address}
+        self.orders.append(c.Remark("error", "node_outside_networks", fields))
+        return Update(update.scope, update.version, tuple(known))
+
     # --- inside ----------------------------------------------------------------------------------
 
     def _run(self) -> None:
--- a/rushweir/ingress/shell.py
+++ b/rushweir/ingress/shell.py
@@ -246,7 +246,8 @@
         shell = self.shell
         transport.set_write_buffer_limits(high=HIGH_WATER)
         if self.conn is None:
-            self.conn = shell.core.accepted(shell.clock())
+            where = transport.get_extra_info("peername") or ("",)
+            self.conn = shell.core.accepted(shell.clock(), where[0])
             shell.transports[self.conn] = transport
         elif self.conn in shell.core.ups:
             shell.transports[self.conn] = transport
