The module, engine and core take other settings while they run; nodes drain by hand

A reload must not restart what was learnt, nor refill a ceiling that was spent. Settings are an event of the module: plans move with their ceilings, classes go when their last request is back. Partners that are gone get their open answers and a close with 1008. A drain by hand passes through the path of a list update, is kept with the list, and outlives what the list says meanwhile.

--- a/rushweir/fronts/websocket.py
+++ b/rushweir/fronts/websocket.py
@@ -84,7 +84,7 @@
         self.asked: list[tuple[Ref, Ask]] = []
         self.raw: list[bytes] = []  # HTTP answers
         self.end = False
-        self.leaving = False
+        self.leaving = ""  # why requests are refused from now on
         self.notifications = 0
         self.problems = 0  # messages answered with an error of the protocol's own
 
@@ -284,7 +284,7 @@
                 rpc.INVALID_REQUEST, "id: a request with this id is open", None, {"id": call.id, "reason": "open_id"}
             )
         if self.leaving or len(self.open_ids) >= self.settings.max_open:
-            why = "stopping" if self.leaving else "connection_full"
+            why = self.leaving or "connection_full"
             data = {"reason": why, "repeat": "harmless", "retry_after_ms": 0}
             raise rpc.RpcError(rpc.REFUSED, f"refused: {why}", call.id, data)
         params = {} if call.params is None else call.params
@@ -371,9 +371,9 @@
         """The request head did not come in time (RFC 9110, 15.5.9)."""
         self._plain(408, "the request head took too long")
 
-    def refuse_new(self) -> None:
-        """From now on requests are refused: the ingress stops."""
-        self.leaving = True
+    def refuse_new(self, why: str) -> None:
+        """From now on requests are refused, with this reason."""
+        self.leaving = self.leaving or why
 
     def close(self, code: int, reason: str) -> None:
         """Start the closing handshake; a connection that is no WebSocket yet just ends."""
--- a/rushweir/ingress/core.py
+++ b/rushweir/ingress/core.py
@@ -11,7 +11,7 @@
 from __future__ import annotations
 
 from collections import Counter, deque
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any
 
 from websockets.frames import CloseCode
@@ -97,7 +97,9 @@
                 self.engine.at,
             )  # fmt: skip
         self.peers = Peers(s.me, s.gateways, setup.peer_key) if setup.peer_key else None
-        self.held: dict[str, i.Server] = {}
+        self.listed: dict[str, i.Server] = {}  # as the list has them
+        self.by_hand: set[str] = set()  # of these, drained by an operator
+        self.held: dict[str, i.Server] = {}  # as the policy was told
         self.listed_at: float | None = None  # when the last good update was read
         self.carry = {
             c.SendAttempt: lambda x: self.pool.send(self.now, x.attempt),
@@ -120,7 +122,7 @@
         self.engine.start(now)
         if last_list is not None:
             try:
-                servers = kept.load(last_list)
+                servers, self.by_hand = kept.load(last_list)
             except UpdateError as problem:
                 self.orders.append(c.Remark("error", "kept_list_refused", {"why": str(problem)}))
             else:
@@ -293,6 +295,8 @@
             return
         client.front.answer(answer)
         self._flush(client)
+        if client.front.leaving:
+            self._leave_if_idle(client)
 
     # --- connections that this side opened -------------------------------------------------------
 
@@ -346,16 +350,69 @@
 
     def _take_update(self, update: Update) -> None:
         """Put an update to the policy and the pool, at the moment when it was read, and keep the list."""
-        update = self._known_networks(update)
-        self.engine.members(self.now, update.scope, update.servers)
         if update.scope is i.Scope.FAILED:
             self.counts["list_failed"] += 1
+            self.engine.members(self.now, update.scope)
             return
-        self.held = apply(self.held, update)
-        self.pool.told(self.now, {a: s.state for a, s in self.held.items()})
+        self.listed = apply(self.listed, update)
+        self.by_hand &= self.listed.keys()
+        self._put(update)
         if update.scope is not i.Scope.CACHED:
             self.listed_at = self.now
-            self.orders.append(c.SaveList(kept.dump(self.held, self.now)))
+            self._keep_list()
+
+    def _put(self, update: Update) -> None:
+        """An update as it holds here: without strange nodes, and with those drained by hand as draining."""
+        update = self._known_networks(update)
+        servers = tuple(
+            replace(s, state=i.State.DRAINING) if s.state is i.State.READY and s.address in self.by_hand else s
+            for s in update.servers
+        )
+        self.engine.members(self.now, update.scope, servers)
+        self.held = apply(self.held, Update(update.scope, update.version, servers))
+        self.pool.told(self.now, {a: s.state for a, s in self.held.items()})
+
+    def _keep_list(self) -> None:
+        self.orders.append(c.SaveList(kept.dump(self.listed, self.by_hand, self.now)))
+
+    def drain(self, now: float, address: str, on: bool = True) -> bool:
+        """Drain a node by hand, or readmit it, as if the list had said so; whether the list has such a node.
+        What the list says of it meanwhile holds once it is readmitted; a node that leaves the list is forgotten."""
+        self._at(now)
+        server = self.listed.get(address)
+        if server is None:
+            return False
+        if (address in self.by_hand) is not on:
+            (self.by_hand.add if on else self.by_hand.discard)(address)
+            self.counts["drained_by_hand" if on else "readmitted_by_hand"] += 1
+            self._put(Update(i.Scope.DELTA, -1, (server,)))
+            self._keep_list()
+        self._run()
+        return True
+
+    # --- other settings --------------------------------------------------------------------------
+
+    def reload(self, now: float, setup: Setup) -> None:
+        """Other settings from now on. Connections stay, those of a partner that is gone until their open
+        requests are answered; who was let in by an old credential stays too."""
+        self._at(now)
+        self.setup = setup
+        self.engine.adopt(now, setup.settings, setup.margin_ms)
+        self.pool.settings = setup.pool
+        partners = {p.name: p for p in setup.credentials.by_digest.values()}
+        for client in list(self.clients.values()):
+            front = client.front
+            front.settings = setup.front
+            if front.partner is not None:
+                new = partners.get(front.partner.name)
+                if new is not None:
+                    front.partner = new
+                else:
+                    self.counts["partners_gone"] += 1
+                    front.refuse_new("partner_gone")
+                    self._leave_if_idle(client)
+        self._put(Update(i.Scope.FULL, -1, tuple(self.listed.values())))
+        self._run()
 
     def _known_networks(self, update: Update) -> Update:
         """An update without the nodes outside the networks where nodes may stand: a list that names them is
@@ -444,9 +501,8 @@
         self._at(now)
         self.stopping = True
         for client in list(self.clients.values()):
-            client.front.refuse_new()
-            if not client.front.open_ids:
-                self._leave(client)
+            client.front.refuse_new("stopping")
+            self._leave_if_idle(client)
         self._run()
 
     def idle(self) -> bool:
@@ -466,6 +522,13 @@
                 service.link.stop(now)
         self._run()
 
+    def _leave_if_idle(self, client: Client) -> None:
+        if not client.front.open_ids and not client.ended:
+            self._leave(client)
+
     def _leave(self, client: Client) -> None:
-        client.front.close(CloseCode.GOING_AWAY, "ingress stops")
+        """Going away, or, where it is only this client that must go, a policy's ground (RFC 6455, 7.4.1)."""
+        gone = client.front.leaving == "partner_gone"
+        code = CloseCode.POLICY_VIOLATION if gone else CloseCode.GOING_AWAY
+        client.front.close(code, "partner no longer known" if gone else "ingress stops")
         self._flush(client)
--- a/rushweir/ingress/engine.py
+++ b/rushweir/ingress/engine.py
@@ -121,6 +121,13 @@
         self.serial += 1
         heappush(self.timers, (when, self.serial, what, argument))
 
+    def adopt(self, now: float, settings: i.Settings, margin_ms: float) -> None:
+        """Other settings from now on; what was taken by the old ones is finished by the old ones."""
+        self.now, self.settings, self.margin = now, settings, margin_ms
+        self.classes = {cls.name: cls for cls in settings.classes}
+        self.ledger.most = settings.limits.max_open
+        self._tell(settings)
+
     # --- what happened ---------------------------------------------------------------------------
 
     def request(self, now: float, conn: int, ref: Any, partner: Partner, ask: Ask) -> str | None:
--- a/rushweir/interface.py
+++ b/rushweir/interface.py
@@ -235,7 +235,8 @@
     load: dict[str, float] | None = None
 
 
-Event = Members | Request | Outcome | FirstByte | Gone | Timer | PeerMessage | Counted | Probed
+# Settings are an event too: others, for the same gateway, from now on.
+Event = Settings | Members | Request | Outcome | FirstByte | Gone | Timer | PeerMessage | Counted | Probed
 
 # --- actions ----------------------------------------------------------------------------------
 
--- a/rushweir/rules.py
+++ b/rushweir/rules.py
@@ -39,13 +39,36 @@
     a fresh word shows that asking is in vain; where no answer comes its even part decides."""
 
     def __init__(self, settings: i.Settings, rng: random.Random, now: float) -> None:
-        self.s, self.how, self.rng, self.began = settings, settings.sharing, rng, now
-        self.plans = {p.name: (k, p) for k, p in enumerate(settings.plans)}
+        self.rng, self.began = rng, now
         self.customers, self.kept = dict[int, st.Customer](), dict[int, st.Store]()
-        self.mail = st.Outbox(ENTRY, self.how.messages_per_s, MAIL_BURST, MAIL_MOST, now)
+        self.mail = st.Outbox(ENTRY, settings.sharing.messages_per_s, MAIL_BURST, MAIL_MOST, now)
         self.held, self.owing = dict[int, st.Ticket](), dict[int, st.Customer]()
         self.calls: dict[int, list[tuple]] = {}
         self.pace, self.next_call, self.swept = CALL_MS[0] * settings.gateways, now, now
+        self.adopt(settings, now)
+
+    def adopt(self, settings: i.Settings, now: float) -> None:
+        """Other plans. A customer whose plan is gone keeps it until idle: its ceiling must not be forgotten."""
+        self.s, self.how = settings, settings.sharing
+        self.mail.per_ms = self.how.messages_per_s / 1000
+        self.plans = {p.name: (k, p) for k, p in enumerate(settings.plans)}
+        for c in self.customers.values():
+            self.move(c, c.plan.name, now)
+
+    def move(self, c: st.Customer, plan: str, now: float) -> None:
+        """To another plan, or to other quotas of the same. Of a ceiling that is new nothing is there yet."""
+        if plan in self.plans and self.plans[plan] != (c.index, c.plan):
+            self.refill(c, now)
+            had, (c.index, c.plan) = c.plan.ceiling_rate, self.plans[plan]
+            c.ceiling = (c.ceiling if had else 0.0) if c.plan.ceiling_rate else math.inf
+            c.ceiling_at = now
+            self.refill(c, now)
+
+    def refill(self, c: st.Customer, now: float) -> None:
+        c.store.refill(c.plan.rate, c.plan.burst, now)
+        if c.plan.ceiling_rate:
+            more = c.plan.ceiling_rate / c.doors * (now - c.ceiling_at) / 1000
+            c.ceiling, c.ceiling_at = min(c.plan.ceiling_burst / c.doors, c.ceiling + more), now
 
     def customer(self, r: i.Request, now: float) -> st.Customer | None:
         key = crc32(r.customer.encode())
@@ -59,11 +82,10 @@
             # Of a ceiling only the own part is spent; what a predecessor left of it is unknown.
             store = st.Store(plan.burst, MEMORY_MS, now)
             c = self.customers[key] = st.Customer(plan, index, key, len(doors), ranks, store, self.began)
+        elif c.plan.name != r.plan:
+            self.move(c, r.plan, now)
         c.seen = now
-        c.store.refill(c.plan.rate, c.plan.burst, now)
-        if c.plan.ceiling_rate:
-            more = c.plan.ceiling_rate / c.doors * (now - c.ceiling_at) / 1000
-            c.ceiling, c.ceiling_at = min(c.plan.ceiling_burst / c.doors, c.ceiling + more), now
+        self.refill(c, now)
         return c
 
     def keeper(self, c: st.Customer, asks: int, now: float) -> int | None:
@@ -188,15 +210,22 @@
     """B, the room for units in flight, and its ranges by length (paper, 4.3, Figure 3)."""
 
     def __init__(self, s: i.Settings, now: float) -> None:
-        self.s, self.classes = s, {c.name: c for c in s.classes}
-        self.length = {c.name: st.Mean(c.aim_ms / 4) for c in s.classes}
-        self.asked = {c.name: st.Rate(POPULAR_MS, now) for c in s.classes}
+        self.classes, self.length = dict[str, i.RequestClass](), dict[str, st.Mean]()
+        self.asked = dict[str, st.Rate]()
+        self.adopt(s, set(), now)
         self.finished, self.mean_units = st.Rate(MEMORY_MS, now), (1 + s.sharing.largest_request) / 2
         self.outcomes, self.parts = st.Health(PRESSED_MS, now), st.Parts()
         values = [c.worth * p.price / self.length[c.name].value for c in s.classes for p in s.plans]
         self.value = sum(values) / len(values)
         self.credit, self.most, self.at, self.median = 0.0, 0.0, now, 1.0  # of times, in lengths
 
+    def adopt(self, s: i.Settings, out: set[str], now: float) -> None:
+        """Other classes; those of requests that are out stay until the next change."""
+        old = {n: c for n, c in self.classes.items() if n in out}
+        self.s, self.classes = s, old | {c.name: c for c in s.classes}
+        self.length = {n: self.length.get(n) or st.Mean(c.aim_ms / 4) for n, c in self.classes.items()}
+        self.asked = {n: self.asked.get(n) or st.Rate(POPULAR_MS, now) for n in self.classes}
+
     def pressed(self, now: float) -> bool:
         return self.outcomes.bad.total(now) > PRESSED_PART * (5 + self.outcomes.all.total(now))
 
@@ -261,14 +290,18 @@
     """The list of servers, slow start, health and the choice among them."""
 
     def __init__(self, settings: i.Settings, rng: random.Random, now: float) -> None:
-        self.zone, self.rules, self.rng = settings.zone, settings.rules, rng
-        self.cross = 1 + CROSS * settings.prices.get("crossZone", 0.0)
-        self.sized = settings.weights in ("nominal", "rough")  # a live weight tells load, and late
+        self.rng = rng
+        self.adopt(settings)
         self.sent = st.Rate(max(1.0, self.rules.fall_ms), now)
         self.others = 1 - 1 / settings.gateways
         self.servers, self.groups = dict[str, st.Backend](), dict[tuple[str, str], st.Health]()
         self.whole, self.ready = st.Health(MEMORY_MS, now), list[st.Backend]()
 
+    def adopt(self, settings: i.Settings) -> None:
+        self.zone, self.rules = settings.zone, settings.rules
+        self.cross = 1 + CROSS * settings.prices.get("crossZone", 0.0)
+        self.sized = settings.weights in ("nominal", "rough")  # a live weight tells load, and late
+
     def update(self, event: i.Members, now: float) -> None:
         def make(e: i.Server) -> st.Backend:
             groups = ("zone", e.zone), ("kind", e.kind)
@@ -372,6 +405,11 @@
                 self.fleet.update(event, self.now)
                 self.room.partition(len(self.fleet.ready), self.now)
                 return [i.SetTimer(1, SILENT_MS)] * (event.scope is i.Scope.FAILED and self.s.ask_discovery)
+            case i.Settings():  # of the same gateway; what was learnt stays
+                self.s = event
+                self.quota.adopt(event, self.now)
+                self.room.adopt(event, {t.r.cls for t in self.tickets.values()}, self.now)
+                self.fleet.adopt(event)
             case i.Gone() | i.FirstByte() if event.id in self.tickets:
                 self.end(self.tickets[event.id])
         return []
--- a/tests/discovery/test_list.py
+++ b/tests/discovery/test_list.py
@@ -146,26 +146,26 @@
 
 def test_the_kept_list_comes_back():
     held = {s.address: s for s in (A, B)}
-    data = kept.dump(held, 1.0)
-    assert {s.address: s for s in kept.load(data)} == held
+    servers, by_hand = kept.load(kept.dump(held, {A.address, "gone:1"}, 1.0))
+    assert {s.address: s for s in servers} == held and by_hand == {A.address}
 
 
 @settings(max_examples=80, deadline=None)
-@given(cut=st.integers(0, 400), at=st.integers(0, 400), byte=st.integers(0, 255))
+@given(cut=st.integers(0, 400), at=st.integers(0, 500), byte=st.integers(0, 255))
 def test_a_torn_or_altered_copy_is_refused_whole(cut, at, byte):
-    data = kept.dump({s.address: s for s in (A, B)}, 1.0)
+    data = kept.dump({s.address: s for s in (A, B)}, {A.address}, 1.0)
     if cut < len(data):
         with pytest.raises(UpdateError):
             kept.load(data[:cut])
     changed = bytearray(data)
     changed[at % len(data)] = byte
     try:
-        found = kept.load(bytes(changed))
+        found, by_hand = kept.load(bytes(changed))
     except UpdateError:
         return
-    assert set(found) == {A, B}  # only what does not matter was altered (written_ms)
+    assert set(found) == {A, B} and by_hand == {A.address}  # only what does not matter was altered (written_ms)
 
 
 def test_a_kept_list_of_another_format():
     with pytest.raises(UpdateError, match="format"):
-        kept.load(orjson.dumps({"format": 2}))
+        kept.load(orjson.dumps({"format": 1}))
--- a/tests/ingress/conftest.py
+++ b/tests/ingress/conftest.py
@@ -62,7 +62,7 @@
             node = await self.fleet.add("ab"[k % 2], kind, k, cold)
             self.list.set(node.address, "ready", zone=node.room, online_since=node.online_since)
 
-    async def start(self, room: float | None = 5000.0, port: int = 0) -> str:
+    async def start(self, room: float | None = 5000.0, port: int = 0, ready: int | None = None) -> str:
         """Start the ingress and wait for its list. ``room``: units a second that each node is presumed to do."""
         if not self.list.port:
             await self.list.listen()
@@ -77,7 +77,8 @@
         self.shell = Shell(core, clock, list_file=self.tmp / "list.json")
         port = await self.shell.serve("127.0.0.1", port)
         self.url = f"ws://127.0.0.1:{port}/dispatch"
-        ready = sum(s.state is i.State.READY for s in self.list.servers.values())
+        if ready is None:
+            ready = sum(s.state is i.State.READY for s in self.list.servers.values())
         await self.until(lambda: sum(s.state is i.State.READY for s in core.held.values()) >= ready)
         if room and isinstance(policy, Policy):
             policy.room.finished.add(room * 4, core.now)  # as if that much had been finished lately
