What an ingress did can be seen: usage, the last hour, courses of requests, events, logs

At night the question is who uses what, what was refused and what became of one request. The engine tells each end to a watch that changes nothing: exact counts by partner in arrays, the heaviest by Space-Saving, the last hour in slots, the courses of all that failed or came late and a sample of the rest. A refusal names its request.

--- a/rushweir/config/load.py
+++ b/rushweir/config/load.py
@@ -126,6 +126,8 @@
             seed=seed,
             boot=boot,
             most_clients=f.clients.connections,
+            sample=f.trace.sample,
+            courses=f.trace.keep,
             client_networks=AddressSet(f.clients.allow, f.clients.deny),
             node_networks=AddressSet(f.nodes.allow, f.nodes.deny),
         )  # fmt: skip
--- a/rushweir/fronts/websocket.py
+++ b/rushweir/fronts/websocket.py
@@ -323,11 +323,12 @@
             unknown = answer.why == "unknown_class"
             data = {
                 "reason": answer.why, "repeat": "harmless", "retry_after_ms": math.ceil(answer.retry_after_ms),
+                "request": answer.rid,
             }  # fmt: skip
             code = rpc.METHOD_NOT_FOUND if unknown else rpc.REFUSED
             text = rpc.error(ref.id, code, f"refused: {answer.why}", data)
         else:
-            text = rpc.error(ref.id, rpc.FAILED, "failed", {"reason": answer.why})
+            text = rpc.error(ref.id, rpc.FAILED, "failed", {"reason": answer.why, "request": answer.rid})
         if ref.batch is None:
             self._send(text)
         else:
--- a/rushweir/ingress/commands.py
+++ b/rushweir/ingress/commands.py
@@ -20,6 +20,8 @@
     payload: dict[str, Any]
     method: str
     ended: bool = False
+    result: str = ""  # how it ended ...
+    ended_ms: float = 0.0  # ... and when
 
 
 @dataclass(slots=True)
@@ -49,7 +51,7 @@
     body: Any = None  # the node's result, or its error object
     why: str = ""
     retry_after_ms: float = 0.0
-    took_ms: float = 0.0
+    rid: str = ""  # by which operators find the request; none where it was not taken
 
 
 class Kind:
--- a/rushweir/ingress/core.py
+++ b/rushweir/ingress/core.py
@@ -29,6 +29,7 @@
 from rushweir.link.upstream import Upstream
 from rushweir.nodes.pool import Ended, Pool, PoolSettings
 from rushweir.peers.datagram import Peers
+from rushweir.watch.watch import Watch
 
 MOST_CLIENTS = 20_000  # connections of clients: beyond, one is answered 503 and closed
 
@@ -52,10 +53,17 @@
     seed: int = 0
     boot: str = ""
     most_clients: int = MOST_CLIENTS
+    sample: float = 0.0  # share of requests whose course is kept although nothing went wrong
+    courses: int = 2_000  # kept at most
     client_networks: AddressSet = field(default_factory=AddressSet)  # that may connect
     node_networks: AddressSet = field(default_factory=AddressSet)  # that nodes may stand in
 
 
+    def partners(self) -> list[tuple[str, str]]:
+        """Name and plan of each."""
+        return [(p.name, p.plan) for p in self.credentials.by_digest.values()]
+
+
 @dataclass(slots=True)
 class Client:
     """A client's connection, and what of it is the core's affair."""
@@ -76,7 +84,9 @@
     def __init__(self, setup: Setup, policy: Decides, now: float) -> None:
         self.setup, self.now = setup, now
         s = setup.settings
-        self.engine = Engine(s, policy, now, margin_ms=setup.margin_ms, boot=setup.boot)
+        aims = {k.name: k.aim_ms for k in s.classes}
+        self.watch = Watch(now, setup.partners(), aims, setup.sample, setup.courses)
+        self.engine = Engine(s, policy, now, margin_ms=setup.margin_ms, boot=setup.boot, watch=self.watch)
         self.orders: deque[c.Order] = deque()
         self.clients: dict[int, Client] = {}
         self.ups: dict[int, Any] = {}  # who handles a connection that this side opened
@@ -111,7 +121,7 @@
             c.ProbeNode: lambda x: self.pool.probe(self.now, x.server),
             c.WatchList: lambda x: self.list.watch(self.now, x.on) if self.list else self._no_list(),
             c.FetchList: lambda x: self.list.fetch(self.now) if self.list else self._no_list(),
-            c.Remark: self.orders.append,
+            c.Remark: self._remark,
         }
 
     # --- time ------------------------------------------------------------------------------------
@@ -124,7 +134,7 @@
             try:
                 servers, self.by_hand = kept.load(last_list)
             except UpdateError as problem:
-                self.orders.append(c.Remark("error", "kept_list_refused", {"why": str(problem)}))
+                self._remark(c.Remark("error", "kept_list_refused", {"why": str(problem)}))
             else:
                 self._take_update(Update(i.Scope.CACHED, -1, servers))
         for service in (self.list, self.counter):
@@ -371,6 +381,7 @@
         self.engine.members(self.now, update.scope, servers)
         self.held = apply(self.held, Update(update.scope, update.version, servers))
         self.pool.told(self.now, {a: s.state for a, s in self.held.items()})
+        self.watch.know_nodes(self.held)
 
     def _keep_list(self) -> None:
         self.orders.append(c.SaveList(kept.dump(self.listed, self.by_hand, self.now)))
@@ -385,6 +396,7 @@
         if (address in self.by_hand) is not on:
             (self.by_hand.add if on else self.by_hand.discard)(address)
             self.counts["drained_by_hand" if on else "readmitted_by_hand"] += 1
+            self._remark(c.Remark("info", "drained_by_hand" if on else "readmitted_by_hand", {"node": address}))
             self._put(Update(i.Scope.DELTA, -1, (server,)))
             self._keep_list()
         self._run()
@@ -399,6 +411,9 @@
         self.setup = setup
         self.engine.adopt(now, setup.settings, setup.margin_ms)
         self.pool.settings = setup.pool
+        self.watch.usage.know(setup.partners())
+        self.watch.know_classes({k.name: k.aim_ms for k in setup.settings.classes})
+        self.watch.courses.adopt(setup.sample, setup.courses)
         partners = {p.name: p for p in setup.credentials.by_digest.values()}
         for client in list(self.clients.values()):
             front = client.front
@@ -427,9 +442,13 @@
             return update
         self.counts["strange_nodes"] += len(strange)
         fields = {"count": len(strange), "first": strange[0].address}
-        self.orders.append(c.Remark("error", "node_outside_networks", fields))
+        self._remark(c.Remark("error", "node_outside_networks", fields))
         return Update(update.scope, update.version, tuple(known))
 
+    def _remark(self, remark: c.Remark) -> None:
+        self.watch.event(self.now, remark.level, remark.cause, remark.fields)
+        self.orders.append(remark)
+
     # --- inside ----------------------------------------------------------------------------------
 
     def _run(self) -> None:
@@ -466,7 +485,8 @@
                 self.orders.extend(part.out)
                 part.out.clear()
         if source is not None and source.remarks:
-            self.orders.extend(source.remarks)
+            for remark in source.remarks:
+                self._remark(remark)
             source.remarks.clear()
 
     # --- to be seen ------------------------------------------------------------------------------
--- a/rushweir/ingress/engine.py
+++ b/rushweir/ingress/engine.py
@@ -35,6 +35,18 @@
     def handle(self, now_ms: float, event: i.Event) -> list[i.Action]: ...
 
 
+class Watches(Protocol):
+    """Whoever wants to see what becomes of requests (watch/watch.py). It changes nothing of it."""
+
+    def answered(self, now: float, entry: Entry, kind: str, why: str) -> None: ...
+
+    def turned_down(self, now: float, partner: str, units: float, why: str) -> None: ...
+
+    def attempted(self, now: float, attempt: c.Attempt, result: str) -> None: ...
+
+    def over(self, now: float, entry: Entry) -> c.Remark | None: ...
+
+
 @dataclass(frozen=True, slots=True)
 class Partner:
     """A customer as its requests are told to the policy: where its plan's quota is counted."""
@@ -66,11 +78,12 @@
         *,
         margin_ms: float = 0.0,
         boot: str = "",
+        watch: Watches,
     ) -> None:
         """``margin_ms`` is taken off each client's time, so that its answer is there before it gives up;
         ``boot`` makes request ids unlike those of earlier runs."""
         self.settings, self.policy, self.now = settings, policy, now
-        self.margin, self.boot = margin_ms, boot
+        self.margin, self.boot, self.watch = margin_ms, boot, watch
         self.classes = {cls.name: cls for cls in settings.classes}
         self.ledger = Ledger(settings.limits.max_open)
         self.out: deque[c.Command] = deque()
@@ -142,7 +155,7 @@
         why = "unknown_class" if cls is None else "ingress_full" if self.ledger.full() else ""
         if why or not_after <= now + ENDING_MS:
             # None of it is a decision about load: these can't be put to the policy at all.
-            self._answer_early(conn, ref, why or "too_late")
+            self._answer_early(conn, ref, partner, ask, why or "too_late")
             return None
         self.ledger.serial += 1
         rid = f"{self.boot}{self.ledger.serial:x}"
@@ -162,6 +175,8 @@
         for entry in entries:
             self.counts["left"] += 1
             self.ledger.finish(entry, LEFT)
+            self.watch.answered(now, entry, "left", "")
+            self._over(entry)
             self._tell(i.Gone(entry.rid))
         return len(entries)
 
@@ -192,7 +207,11 @@
             self.counts["stray_outcomes"] += 1
             return
         self.counts[f"attempt_{result.value}"] += 1
+        attempt.result, attempt.ended_ms = result.value, now
+        self.watch.attempted(now, attempt, result.value)
         self.ledger.ended(entry, attempt, result.never_ran)
+        if entry.state is DONE:
+            self._over(entry)
         if result is i.Result.OK and entry.state is not DONE:
             self._answer(entry, c.Kind.SERVED, body)
         event = i.Outcome(
@@ -262,7 +281,7 @@
             # Not to be carried out: it ends as never sent, told apart from this answer, as on the bench.
             self._odd("send", action.id)
             entry.attempts.append(attempt)
-            attempt.ended = True
+            attempt.ended, attempt.result, attempt.ended_ms = True, i.Result.MOOT.value, self.now
             self.at(self.now, self._moot, attempt)
             return
         self.ledger.send(entry, attempt)
@@ -322,12 +341,23 @@
     ) -> None:
         self.counts[kind] += 1
         self.ledger.finish(entry, ANSWER)
-        self.out.append(c.Answer(entry.conn, entry.ref, kind, body, why, retry, self.now - entry.taken))
-
-    def _answer_early(self, conn: int, ref: Any, why: str) -> None:
+        self.out.append(c.Answer(entry.conn, entry.ref, kind, body, why, retry, entry.rid))
+        self.watch.answered(self.now, entry, kind, why)
+        self._over(entry)
+
+    def _over(self, entry: Entry) -> None:
+        """Nothing more comes of a finished request once its last attempt is back."""
+        if entry.course is not None and not entry.out:
+            remark = self.watch.over(self.now, entry)
+            entry.course = None
+            if remark is not None:
+                self.out.append(remark)
+
+    def _answer_early(self, conn: int, ref: Any, partner: Partner, ask: Ask, why: str) -> None:
+        self.watch.turned_down(self.now, partner.name, ask.units, why)
         self.counts[c.Kind.REFUSED] += 1
         self.refusals[why] += 1
-        self.out.append(c.Answer(conn, ref, c.Kind.REFUSED, None, why, 0.0, 0.0))
+        self.out.append(c.Answer(conn, ref, c.Kind.REFUSED, None, why, 0.0))
 
     def _answer_by_facts(self, entry: Entry, why: str) -> None:
         """The answer where the policy gave none: a refusal is true only if no attempt can have run."""
--- a/rushweir/ingress/ledger.py
+++ b/rushweir/ingress/ledger.py
@@ -39,8 +39,8 @@
     """One request taken, and all that is known of it."""
 
     __slots__ = (
-        "attempts", "conn", "customer", "cls", "may_have_run", "method", "not_after", "out", "payload", "ref",
-        "rid", "state", "taken", "units",
+        "attempts", "conn", "course", "customer", "cls", "may_have_run", "method", "not_after", "out", "payload",
+        "ref", "rid", "state", "taken", "units",
     )  # fmt: skip
 
     def __init__(
@@ -50,6 +50,7 @@
         self.rid, self.conn, self.ref, self.cls, self.customer = rid, conn, ref, cls, customer
         self.units, self.taken, self.not_after, self.payload = units, taken, not_after, payload
         self.state = HELD
+        self.course: Any = None  # what the watch wants noted of it when its last attempt is back
         self.attempts: list[Attempt] = []
         self.out = 0  # attempts without an outcome
         self.may_have_run = False  # some attempt ended in a way that does not prove the opposite
--- /dev/null
+++ b/tests/watch/test_watch.py
@@ -0,0 +1,191 @@
+"""Usage, the heaviest, the last hour, and the courses that are kept."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from rushweir.ingress.commands import Attempt, Kind
+from rushweir.ingress.engine import Ask
+from rushweir.ingress.ledger import Entry
+from rushweir.watch.courses import Course, Courses
+from rushweir.watch.heaviest import Heaviest
+from rushweir.watch.history import SLOT_MS, SLOTS, History
+from rushweir.watch.usage import HALVE_MS, Usage
+from rushweir.watch.watch import MOST_EVENTS, Watch
+
+assert Ask  # the engine is loaded first, as in the program
+
+
+# --- the heaviest -----------------------------------------------------------------------------------
+
+
+def check(sketch: Heaviest) -> None:
+    """The groups hold exactly the names, and the least is the least."""
+    held = {n: c for c, group in sketch.alike.items() for n in group}
+    assert held == sketch.counts and all(sketch.alike.values())
+    assert len(held) <= sketch.room
+    assert sketch.least == min(sketch.alike, default=sketch.least)
+
+
+@given(st.lists(st.sampled_from("abcdefghij"), max_size=300), st.integers(1, 8))
+def test_counts_are_never_too_low_and_too_high_by_the_error_at_most(names, room):
+    sketch, true = Heaviest(room), Counter(names)
+    for n in names:
+        sketch.add(n)
+        check(sketch)
+    for name, count, error in sketch.top(room):
+        assert count - error <= true[name] <= count
+    for name, count in true.items():
+        if count * room > len(names):
+            assert name in sketch.counts
+
+
+@given(st.lists(st.one_of(st.sampled_from("abcdef"), st.none()), max_size=200))
+def test_halving_keeps_it_whole(steps):
+    sketch = Heaviest(3)
+    for step in steps:
+        sketch.halve() if step is None else sketch.add(step)
+        check(sketch)
+
+
+def test_the_heavy_ones_stay_among_many_light_ones():
+    sketch = Heaviest(20)
+    for k in range(20_000):
+        sketch.add("heavy" if k % 4 == 0 else "second" if k % 9 == 0 else f"light{k}")
+    (first, second), names = sketch.top(2), [n for n, _, _ in sketch.top(2)]
+    assert names == ["heavy", "second"]
+    assert first[1] - first[2] <= 5000 <= first[1] and second[1] >= 1666
+
+
+def test_room_for_one_at_least():
+    with pytest.raises(ValueError, match="room"):
+        Heaviest(0)
+
+
+# --- usage ------------------------------------------------------------------------------------------
+
+
+def test_pages_and_search():
+    usage = Usage([(f"Partner {k:05d}", "wide") for k in range(10_000)] + [("Ödön", "tight")])
+    usage.count(0.0, "Partner 00042", Kind.SERVED, 2.0)
+    usage.count(0.0, "nobody", Kind.SERVED, 1.0)
+    total, rows = usage.page("r 0004", 2, 3)
+    assert total == 10 and [r["name"] for r in rows] == ["Partner 00042", "Partner 00043", "Partner 00044"]
+    assert rows[0]["served"] == 1 and rows[0]["units"] == 2.0
+    assert usage.page("ÖDÖN")[1][0]["plan"] == "tight"
+    assert usage.page("none") == (0, []) and len(usage.page(count=10**9)[1]) == 500
+    assert usage.page(first=-5)[1][0]["name"] == "Partner 00000"
+
+
+def test_counts_stay_over_a_change_of_the_partners():
+    usage = Usage([("a", "x"), ("b", "x")])
+    usage.count(0.0, "b", Kind.REFUSED, 1.0)
+    usage.know([("c", "x"), ("b", "y")])
+    counts = {"served": 0, "refused": 1, "failed": 0, "left": 0}
+    assert usage.row("b") == {"name": "b", "plan": "y", "units": 0.0, **counts}
+    assert [r["name"] for r in usage.page()[1]] == ["b", "c"]
+
+
+def test_the_heaviest_lately_fade():
+    usage = Usage([("a", "x"), ("b", "x")])
+    for _ in range(100):
+        usage.count(0.0, "a", Kind.SERVED, 1.0)
+    for k in range(1, 6):
+        usage.count(k * HALVE_MS, "b", Kind.SERVED, 1.0)  # counted, then halved away
+    usage.count(5 * HALVE_MS, "b", Kind.SERVED, 1.0)
+    assert [(r["name"], r["lately"]) for r in usage.lately(2)] == [("a", 3), ("b", 1)]
+    usage.count(6 * HALVE_MS, "b", Kind.SERVED, 1.0)
+    usage.count(7 * HALVE_MS, "b", Kind.SERVED, 1.0)
+    assert [(r["name"], r["lately"]) for r in usage.lately(2)] == [("b", 1)]
+
+
+# --- the last hour ----------------------------------------------------------------------------------
+
+
+def test_slots():
+    history = History(25_000.0)
+    for k in range(100):
+        history.answered(25_000.0 + k, Kind.SERVED, "", float(k + 1))
+    history.answered(29_999.0, Kind.REFUSED, "quota", 0.0)
+    history.answered(50_000.0, Kind.FAILED, "attempts", 0.0)
+    assert [s["at"] for s in history.slots] == [20_000.0, 30_000.0, 40_000.0]
+    first, empty, _ = history.slots
+    assert (first["served"], first["refused"], first["reasons"]) == (100, 1, {"quota": 1})
+    assert 49 <= first["p50_ms"] <= 51 and 98 <= first["p99_ms"] <= 101
+    assert empty["served"] == 0 and empty["p99_ms"] is None
+
+
+def test_the_hour_is_all_that_is_kept():
+    history = History(0.0)
+    for k in range(SLOTS * 2):
+        history.answered(k * SLOT_MS, Kind.SERVED, "", 1.0)
+    assert len(history.slots) == SLOTS
+    history.turn(1e12)
+    assert len(history.slots) <= SLOTS and history.began <= 1e12 < history.began + SLOT_MS
+    for k in range(100):
+        history.answered(1e12, Kind.REFUSED, f"why{k}", 0.0)
+    assert len(history.reasons) <= 33 and sum(history.reasons.values()) == 100
+
+
+# --- courses ----------------------------------------------------------------------------------------
+
+
+def course(rid, kind=Kind.SERVED):
+    return Course(rid, 1, 1, "c", "p", 0.0, 1.0, kind, "", ())
+
+
+def test_failures_are_always_kept_and_the_rest_by_sample():
+    courses = Courses(0.25, 100)
+    assert courses.wants("x", Kind.FAILED, False) == 0 and courses.wants("x", Kind.SERVED, True) == 0
+    chosen = sum(courses.wants(f"b-{k:x}", Kind.SERVED, False) == 1 for k in range(4000))
+    assert 900 < chosen < 1100
+    assert Courses(0.0, 10).wants("x", Kind.SERVED, False) is None
+    assert all(Courses(1.0, 10).wants(f"{k}", Kind.REFUSED, False) == 1 for k in range(100))
+
+
+def test_rings_are_bounded_and_found_by_id():
+    courses = Courses(1.0, 10)
+    for k in range(50):
+        courses.keep(k % 2, course(f"{k}"))
+    assert [c.rid for c in courses.last(2)] == ["48", "46"] and [c.rid for c in courses.last(9, False)][0] == "49"
+    assert courses.find("49").rid == "49" and courses.find("0") is None
+    courses.adopt(1.0, 2)
+    assert [len(r) for r in courses.rings] == [1, 1]
+
+
+def ended(watch, rid, kind, took, *results, why=""):
+    entry = Entry(rid, 7, None, "booking", "hotel", 1.0, 0.0, 3000.0, {})
+    for n, result in enumerate(results):
+        attempt = Attempt(rid, n, f"n:{n}", n * 10.0, 3000.0, {}, "booking", True, result, took)
+        entry.attempts.append(attempt)
+        watch.attempted(took, attempt, result)
+    watch.answered(took, entry, kind, why)
+    return watch.over(took, entry) if entry.course else None
+
+
+def test_a_failure_is_logged_with_its_attempts_and_found():
+    traced = []
+    watch = Watch(0.0, [("hotel", "wide")], {"booking": 100.0}, 0.0, 10, traced.append)
+    watch.know_nodes(["n:0"])
+    remark = ended(watch, "r1", Kind.FAILED, 50.0, "timeout", "conn_lost", why="attempts")
+    assert remark.fields["attempts"] == ["0:n:0:timeout", "1:n:1:conn_lost"]
+    row = watch.courses.find("r1").as_row()
+    assert row["took_ms"] == 50.0 and row["attempts"][1] == {
+        "number": 1, "node": "n:1", "after_ms": 10.0, "result": "conn_lost", "took_ms": 40.0,
+    }  # fmt: skip
+    assert [c.rid for c in traced] == ["r1"] and watch.nodes["n:0"].last_bad == "timeout"
+    assert ended(watch, "r2", Kind.SERVED, 150.0, "ok") is None and watch.courses.find("r2")  # late
+    assert ended(watch, "r3", Kind.SERVED, 50.0, "ok") is None and watch.courses.find("r3") is None
+    counts = watch.classes["booking"]
+    assert counts.kinds[Kind.SERVED] == 2 and sum(counts.buckets) == 2 and counts.sum_ms == 200.0
+
+
+def test_events_are_bounded_and_numbered():
+    watch = Watch(0.0)
+    for k in range(MOST_EVENTS + 10):
+        watch.event(float(k), "info", "x", {})
+    assert len(watch.events) == MOST_EVENTS and watch.events[-1]["number"] == MOST_EVENTS + 10
