The daemon: lock, operators' socket, reload, handover, console, metrics, own overload

The users' first wish after the running ingress: what goes on must be seen without reading logs, and settings changed and programs upgraded without dropping anybody. One process holds a state folder; reload applies whole or not at all; a successor goes on with the same listening sockets and the lock; the console is a process of its own, which the daemon keeps. Short of CPU, the ingress sheds connections, then the cheapest requests.

--- a/rushweir/cli/main.py
+++ b/rushweir/cli/main.py
@@ -1,4 +1,5 @@
-"""Sub-commands of ``rushweir``. Exit codes: 0 well, 1 not well (a rule broken, requests unanswered), 2 bad input."""
+"""Sub-commands of ``rushweir``. Exit codes: 0 well, 1 not well (a rule broken, requests unanswered, settings that
+differ), 2 bad input, 3 no daemon answers."""
 
 from __future__ import annotations
 
@@ -8,6 +9,7 @@
 import click
 import orjson
 
+from rushweir.cli import operators
 from rushweir.config import ConfigError, load
 
 
@@ -17,14 +19,54 @@
     """An API gateway that keeps quotas and priorities across a fleet of instances."""
 
 
+operators.add_to(main)
+
+
+@main.command("console-user")
+@click.argument("file", type=click.Path(path_type=Path, dir_okay=False))
+@click.argument("name")
+@click.option("--remove", is_flag=True, help="Take NAME out.")
+@click.password_option(required=False, prompt=False, help="Asked for if not given; better so.")
+def console_user(file: Path, name: str, remove: bool, password: str | None) -> None:
+    """Add NAME to the console's users FILE, or give it another password."""
+    from rushweir.console.sessions import NAME, UsersError, hash_password, read_users
+    from rushweir.ingress.shell import replace_file
+
+    if not NAME.match(name):
+        raise click.BadParameter("letters, digits and . _ @ -, 64 at most", param_hint="NAME")
+    try:
+        users = read_users(file.read_text()) if file.exists() else {}
+    except (OSError, UsersError) as problem:
+        click.echo(f"{file}: {problem}", err=True)
+        sys.exit(2)
+    if remove:
+        users.pop(name, None)
+    else:
+        password = password or click.prompt("Password", hide_input=True, confirmation_prompt=True)
+        users[name] = hash_password(password)
+    replace_file(file, "".join(f"{n}:{h}\n" for n, h in users.items()).encode(), 0o600)
+
+
+@main.command()
+@click.argument("shell", type=click.Choice(["bash", "zsh", "fish"]))
+def completion(shell: str) -> None:
+    """Print what SHELL needs to complete commands: eval "$(rushweir completion bash)"."""
+    from click.shell_completion import get_completion_class
+
+    kind = get_completion_class(shell)
+    assert kind is not None
+    click.echo(kind(main, {}, "rushweir", "_RUSHWEIR_COMPLETE").source())
+
+
 @main.command()
 @click.argument("file", type=click.Path(path_type=Path))
-@click.option("--log", type=click.Choice(["text", "json"]), default="text", help="Form of the log on standard error.")
-def serve(file: Path, log: str) -> None:
-    """Run one ingress with the settings in FILE, until SIGTERM."""
+@click.option("--log", type=click.Choice(["text", "json"]), help="Form of the log on standard error.")
+@click.option("--take-over", is_flag=True, help="From the daemon that runs with these settings; refuses nobody.")
+def serve(file: Path, log: str | None, take_over: bool) -> None:
+    """Run one ingress with the settings in FILE, until SIGTERM. SIGHUP reads them again."""
     from rushweir.cli.serve import serve as run
 
-    sys.exit(run(_load(file), log == "json"))
+    sys.exit(run(file, _load(file), log or "", take_over))
 
 
 @main.group()
--- a/rushweir/config/load.py
+++ b/rushweir/config/load.py
@@ -18,6 +18,7 @@
 from rushweir.config import models as m
 from rushweir.config.text import ConfigError, Directive, Problem, Spot, parse
 from rushweir.config.values import words
+from rushweir.console.sessions import read_users
 from rushweir.fronts.credentials import Credentials
 from rushweir.fronts.websocket import FrontSettings
 from rushweir.ingress.core import Setup
@@ -127,6 +128,8 @@
             boot=boot,
             most_clients=f.clients.connections,
             sample=f.trace.sample,
+            late_ms=f.overload.delay,
+            most_late_ms=f.overload.most,
             courses=f.trace.keep,
             client_networks=AddressSet(f.clients.allow, f.clients.deny),
             node_networks=AddressSet(f.nodes.allow, f.nodes.deny),
@@ -164,6 +167,8 @@
     if file is not None:
         problems += _across(file, spots)
     key = _key(file.peers, base, spots, problems) if file is not None and file.peers else None
+    if file is not None and file.console is not None:
+        _users(file.console, base, spots, problems)
     if problems or file is None:
         raise ConfigError(list(dict.fromkeys(p for p in problems if p.text)), reader.lines)
     return Config(file, base, key, spots, (Path(name), *reader.files))
@@ -253,7 +258,7 @@
 def _named_path(path: tuple) -> tuple[str, ...]:
     """The path as it is written: ``partners``, ``NAME``, ``plan`` is ``partner NAME``, ``plan``."""
     single = {group: word for word, group in NAMED.items()}
-    if path[0] in single and len(path) > 1:
+    if path and path[0] in single and len(path) > 1:
         return (single[path[0]], str(path[1]), *(str(x).replace("_", "-") for x in path[2:]))
     return tuple(str(x).replace("_", "-") for x in path)
 
@@ -347,7 +352,7 @@
     while seen and seen not in spots:
         seen = seen[:-1]
     spot = spots.get(seen, start)
-    name = " ".join(str(x).replace("_", "-") for x in path if not isinstance(x, int)) or "the file"
+    name = " ".join(_named_path(tuple(x for x in path if not isinstance(x, int)))) or "the file"
     text = e["msg"].removeprefix("Value error, ")
     if e["type"] == "missing":
         # Where a directive of that name was refused already, that it is missing is no news.
@@ -388,26 +393,47 @@
             worst = min(both, key=str)
             spot = spots[(block, "deny", networks.deny.index(worst))]
             out.append(Problem(spot, f"{block}: {worst} is both allowed and denied"))
+    if f.console is not None and f.control is None:
+        out.append(Problem(spots[("console",)], "console: needs a control socket, control { socket ... }"))
     for k, (number, _) in enumerate(f.peers.peer if f.peers else ()):
         if number >= count or number == me:
             out.append(Problem(spots[("peers", "peer", k)], f"peer {number}: no such peer of ingress {me}"))
     return out
 
 
+def _users(console: m.ConsoleBlock, base: Path, spots: dict, problems: list[Problem]) -> None:
+    """The console's users: a file that nobody else may read, each line in its form."""
+    spot, path = spots[("console", "users_file")], base / console.users_file
+    data = _secret(path, "users-file", spot, problems)
+    if data is not None:
+        try:
+            if not read_users(data.decode()):
+                problems.append(Problem(spot, f"users-file: {path} names nobody; rushweir console-user adds one"))
+        except ValueError as problem:
+            problems.append(Problem(spot, f"users-file: {path}: {problem}"))
+
+
 def _key(peers: m.PeersBlock, base: Path, spots: dict, problems: list[Problem]) -> bytes | None:
     """A secret from its file, which nobody else may read."""
-    spot, path = spots[("peers", "key_file")], base / peers.key_file
+    spot = spots[("peers", "key_file")]
+    key = _secret(base / peers.key_file, "key-file", spot, problems)
+    if key is not None and len(key.strip()) < 16:
+        problems.append(Problem(spot, "key-file: 16 bytes at least"))
+        return None
+    return key.strip() if key is not None else None
+
+
+MOST_SECRET = 1_048_576
+
+
+def _secret(path: Path, name: str, spot: Spot, problems: list[Problem]) -> bytes | None:
     try:
         with open(path, "rb") as file:
             mode = os.fstat(file.fileno()).st_mode
             if mode & (stat.S_IRWXG | stat.S_IRWXO):
-                problems.append(Problem(spot, f"key-file: {path} can be read by others; chmod 600 is needed"))
+                problems.append(Problem(spot, f"{name}: {path} can be read by others; chmod 600 is needed"))
                 return None
-            key = file.read(4096).strip()
+            return file.read(MOST_SECRET)
     except OSError as problem:
-        problems.append(Problem(spot, f"key-file: {problem}"))
-        return None
-    if len(key) < 16:
-        problems.append(Problem(spot, "key-file: 16 bytes at least"))
+        problems.append(Problem(spot, f"{name}: {problem}"))
         return None
-    return key
--- /dev/null
+++ b/rushweir/console/__main__.py
@@ -0,0 +1,5 @@
+"""``python -m rushweir.console``: the process that the daemon starts; its settings come by standard input."""
+
+from rushweir.console.shell import main
+
+main()
--- a/rushweir/ingress/engine.py
+++ b/rushweir/ingress/engine.py
@@ -155,7 +155,7 @@
         why = "unknown_class" if cls is None else "ingress_full" if self.ledger.full() else ""
         if why or not_after <= now + ENDING_MS:
             # None of it is a decision about load: these can't be put to the policy at all.
-            self._answer_early(conn, ref, partner, ask, why or "too_late")
+            self.turn_down(now, conn, ref, partner, ask, why or "too_late")
             return None
         self.ledger.serial += 1
         rid = f"{self.boot}{self.ledger.serial:x}"
@@ -353,11 +353,15 @@
             if remark is not None:
                 self.out.append(remark)
 
-    def _answer_early(self, conn: int, ref: Any, partner: Partner, ask: Ask, why: str) -> None:
+    def turn_down(
+        self, now: float, conn: int, ref: Any, partner: Partner, ask: Ask, why: str, retry: float = 0.0
+    ) -> None:
+        """Answer a request that is not taken: it never comes before the policy."""
+        self.now = now
         self.watch.turned_down(self.now, partner.name, ask.units, why)
         self.counts[c.Kind.REFUSED] += 1
         self.refusals[why] += 1
-        self.out.append(c.Answer(conn, ref, c.Kind.REFUSED, None, why, 0.0))
+        self.out.append(c.Answer(conn, ref, c.Kind.REFUSED, None, why, retry))
 
     def _answer_by_facts(self, entry: Entry, why: str) -> None:
         """The answer where the policy gave none: a refusal is true only if no attempt can have run."""
--- a/rushweir/ingress/shell.py
+++ b/rushweir/ingress/shell.py
@@ -10,12 +10,13 @@
 
 import asyncio
 import contextlib
-import logging
 import os
+import socket
 import time
 from collections.abc import Callable
 from pathlib import Path
 
+from rushweir import interface as i
 from rushweir.ingress import commands as c
 from rushweir.ingress.core import Core
 
@@ -47,11 +48,11 @@
         *,
         peers: dict[int, tuple[str, int]] | None = None,
         list_file: Path | None = None,
-        log: logging.Logger | None = None,
+        remark: Callable[[c.Remark], None] | None = None,
     ) -> None:
+        """``remark`` gets the lines for the log."""
         self.core, self.clock, self.peers = core, clock, peers or {}
         self.list_file = list_file
-        self.log = log or logging.getLogger("rushweir")
         self.loop = asyncio.get_running_loop()
         self.transports: dict[int, asyncio.Transport] = {}
         self.tasks: set[asyncio.Task] = set()  # dials
@@ -71,14 +72,19 @@
             c.PauseReading: self._pause,
             c.Datagram: self._datagram,
             c.SaveList: self._save,
-            c.Remark: self._remark,
+            c.Remark: remark or (lambda _: None),
         }
 
     # --- start and end ---------------------------------------------------------------------------
 
-    async def serve(self, host: str, port: int, peer_address: tuple[str, int] | None = None) -> int:
-        """Open the sockets and start; returns the port that clients connect to."""
-        if peer_address is not None:
+    async def serve(
+        self, host: str, port: int, peer_address: tuple[str, int] | None = None,
+        *, listening: socket.socket | None = None, peer_socket: socket.socket | None = None,
+    ) -> int:  # fmt: skip
+        """Open the sockets, or go on with those given, and start; returns the port that clients connect to."""
+        if peer_socket is not None:
+            self.udp, _ = await self.loop.create_datagram_endpoint(lambda: _Datagrams(self), sock=peer_socket)
+        elif peer_address is not None:
             self.udp, _ = await self.loop.create_datagram_endpoint(
                 lambda: _Datagrams(self), local_addr=peer_address
             )
@@ -88,7 +94,8 @@
                 last = self.list_file.read_bytes()
         self.core.start(self.clock(), last)
         self.carry_out()
-        self.server = await self.loop.create_server(lambda: _Connection(self), host, port, backlog=BACKLOG)
+        where = {"sock": listening} if listening is not None else {"host": host, "port": port}
+        self.server = await self.loop.create_server(lambda: _Connection(self), backlog=BACKLOG, **where)
         return self.server.sockets[0].getsockname()[1]
 
     def peer_port(self) -> str:
@@ -96,6 +103,29 @@
         host, port = self.udp.get_extra_info("sockname")[:2] if self.udp is not None else ("", 0)
         return f"{host}:{port}"
 
+    def sockets(self) -> dict[str, int]:
+        """Descriptors that a successor goes on with."""
+        found = {"listen": self.server.sockets[0].fileno()} if self.server is not None else {}
+        if self.udp is not None:
+            found["peers"] = self.udp.get_extra_info("socket").fileno()
+        return found
+
+    async def leave(self, settings: i.Settings, within_ms: float) -> bool:
+        """A successor listens on the same sockets by now: take no more connections, serve each that is open until
+        its first idle moment, then end as ``stop`` does. The listening socket is only closed here, so that what
+        waits in its queue is the successor's."""
+        if self.server is not None:
+            self.server.close()
+        if self.udp is not None:
+            # Both would read from one queue, and each would miss what the other took; sending goes on by then.
+            self.loop.remove_reader(self.udp.get_extra_info("socket").fileno())
+        self.core.leave(self.clock(), settings)
+        self.carry_out()
+        end = self.loop.time() + within_ms / 1000
+        while self.core.clients and self.loop.time() < end:
+            await asyncio.sleep(0.01)
+        return await self.stop(max(0.0, end - self.loop.time()) * 1000)
+
     async def stop(self, within_ms: float = 5_000.0) -> bool:
         """Take no more, answer what is open, close; whether all of it was answered in time."""
         if self.server is not None:
@@ -227,13 +257,11 @@
             try:
                 await asyncio.to_thread(replace_file, self.list_file, data)
             except OSError as problem:
-                self._remark(c.Remark("error", "list_not_kept", {"why": str(problem)}))
+                # All goes on but this: the next list is written again, and says so again.
+                self.core.tell(self.clock(), "error", "list_not_kept", why=str(problem))
+                self.carry_out()
         self.saver = None
 
-    def _remark(self, remark: c.Remark) -> None:
-        level = logging.getLevelName(remark.level.upper())
-        self.log.log(level, "%s %s", remark.cause, remark.fields)
-
 
 class _Connection(asyncio.BufferedProtocol):
     """One connection, of a client (``conn`` is None until it is made) or dialed. Its calls come straight from
@@ -297,10 +325,10 @@
         """A peer that is down answers with an ICMP error; that it is down shows in its silence."""
 
 
-def replace_file(path: Path, data: bytes) -> None:
+def replace_file(path: Path, data: bytes, mode: int = 0o644) -> None:
     """Write a file so that a crash at any point leaves the old or the new one, whole."""
     new = path.with_name(path.name + ".new")
-    with open(new, "wb") as file:
+    with open(new, "wb", opener=lambda p, flags: os.open(p, flags, mode)) as file:
         file.write(data)
         file.flush()
         os.fsync(file.fileno())
--- a/rushweir/lab/run.py
+++ b/rushweir/lab/run.py
@@ -25,6 +25,8 @@
 from rich.live import Live
 from rich.table import Table
 
+from rushweir.cli.ask import Daemon
+from rushweir.console.sessions import hash_password
 from rushweir.fronts.credentials import digest, new_credential
 from rushweir.lab.day import TROUBLES, Day, Trouble
 from rushweir.lab.records import Recorder, clock
@@ -90,9 +92,12 @@
 class Stage:
     """All that a day needs, up and running."""
 
-    def __init__(self, day: Day, folder: Path, serve: list[str] | None = None) -> None:
-        """``serve``: the command that runs an ingress with a settings file; ours if not given."""
-        self.day, self.folder = day, folder
+    def __init__(
+        self, day: Day, folder: Path, serve: list[str] | None = None, users: dict[str, str] | None = None
+    ) -> None:
+        """``serve``: the command that runs an ingress with a settings file; ours if not given. ``users``: names and
+        passwords for a console of each ingress; without, there is none."""
+        self.day, self.folder, self.users = day, folder, users or {}
         self.serve = serve or [sys.executable, "-m", "rushweir", "serve", "--log", "json"]
         self.records = Recorder(folder / "stage.jsonl")
         self.list = NodeList(self.records, wall_offset_ms())
@@ -131,6 +136,10 @@
         key = self.folder / "peers.key"
         key.touch(mode=0o600)
         key.write_text(secrets.token_hex(32))
+        if self.users:
+            file = self.folder / "users"
+            file.touch(mode=0o600)
+            file.write_text("".join(f"{name}:{hash_password(p)}\n" for name, p in self.users.items()))
         await asyncio.gather(*(self.start_ingress(k) for k in range(day.ingresses)))
 
     async def start_ingress(self, k: int) -> None:
@@ -150,6 +159,18 @@
         if found[3]:
             self.net.at(k, int(found[3]))
 
+    def socket(self, k: int) -> Path:
+        """The operators' socket of an ingress."""
+        return self.folder / f"control-{k}.sock"
+
+    async def ask(self, k: int, method: str, **params: Any) -> Any:
+        """A question to an ingress as its operators ask it."""
+        daemon = Daemon(self.socket(k), 10.0)
+        try:
+            return await asyncio.to_thread(daemon.ask, method, **params)
+        finally:
+            daemon.close()
+
     async def start_crowd(self, start_in_ms: float = 1500.0) -> None:
         self.start_at = clock() + start_in_ms
         first = {
@@ -360,7 +381,10 @@
         f"    retry-after {plain(day.limits['retry_after'])}ms",
         f"    largest-request {plain(day.limits.get('largest_request', 1))}", "}",
         "nodes {", "    weights rough", "}",
+        "control {", f"    socket control-{k}.sock", "}",
     ]  # fmt: skip
+    if stage.users:
+        out += ["console {", "    listen 127.0.0.1:0", "    users-file users", "}"]
     if day.counter:
         out += ["counter {", f"    url ws://127.0.0.1:{stage.counter.port}/counter", "    timeout 80ms", "}"]
     elif day.ingresses > 1:
@@ -475,10 +499,11 @@
 
 
 def hold_up(day: Day, keep: Path | None) -> int:
-    """Keep a fleet up and say how to reach it, until Ctrl-C."""
+    """Keep a fleet up and say how to reach it, its consoles and its sockets, until Ctrl-C."""
 
     async def main(folder: Path) -> None:
-        stage = Stage(day, folder)
+        users = {"demo": secrets.token_urlsafe(9)}
+        stage = Stage(day, folder, users=users)
         stop = asyncio.Event()
         for sign in (signal.SIGINT, signal.SIGTERM):
             asyncio.get_running_loop().add_signal_handler(sign, stop.set)
@@ -488,6 +513,10 @@
                 print(f"ingress {k} {url}", flush=True)
             name = next(n for n, p in reversed(day.partner_names()) if p.spread in (0, day.ingresses))
             print(f"credential {stage.credentials[name]}", flush=True)
+            for k in range(day.ingresses):
+                where = (await stage.ask(k, "status"))["console"]
+                print(f"console {k} {where} user demo password {users['demo']}", flush=True)
+                print(f"socket {k} {stage.socket(k)}", flush=True)
             await stop.wait()
         finally:
             await stage.end()
