--- /dev/null
+++ b/rushweir/costs/amounts.py
@@ -0,0 +1,45 @@
+"""Amounts: whole thousandths of a unit, from parsing to the ledger. No I/O.
+
+Sums of floats depend on their order, and two ledgers that hold the same entries would differ; whole numbers do not.
+Only the decision module counts in floats: ``units`` is where an amount crosses over, and its rounding is that of
+one division, at most 2**-53 of the amount.
+"""
+
+from __future__ import annotations
+
+import re
+
+THOUSANDTHS = 1_000
+MOST = 10**12  # of one request or answer: a thousand million units; what is more is a fault of its sender
+
+
+def parse(text: str) -> int:
+    """An amount of ``2``, ``0.25``, ``1.005``. Raises ValueError; more than three decimals are an error, since a
+    rounded price is not the price that was written."""
+    found = re.fullmatch(r"(\d{1,9})(?:\.(\d{1,3}))?", text)
+    if found is None:
+        raise ValueError("an amount such as 2 or 0.25, with three decimals at most")
+    return int(found[1]) * THOUSANDTHS + int((found[2] or "").ljust(3, "0"))
+
+
+def text(amount: int) -> str:
+    """An amount as ``parse`` takes it."""
+    whole, rest = divmod(abs(amount), THOUSANDTHS)
+    sign = "-" if amount < 0 else ""
+    return f"{sign}{whole}" + (f".{rest:03d}".rstrip("0") if rest else "")
+
+
+def units(amount: int) -> float:
+    """An amount for the module."""
+    return amount / THOUSANDTHS
+
+
+def truth(value: object) -> int | None:
+    """The amount that an answer names, or None where it names none that can be: no number, not finite, negative,
+    or more than ``MOST``. Rounded to the nearest thousandth, halves up; of a float that is off by half a thousandth
+    and its own 2**-53 at most."""
+    if type(value) is int:
+        return value * THOUSANDTHS if 0 <= value <= MOST // THOUSANDTHS else None
+    if type(value) is float and 0 <= value <= MOST / THOUSANDTHS:  # not for NaN either
+        return int(value * THOUSANDTHS + 0.5)
+    return None
--- /dev/null
+++ b/tests/costs/test_prices.py
@@ -0,0 +1,174 @@
+"""Amounts, routes and prices: exact, bounded, and the same as the plain way of finding them."""
+
+from __future__ import annotations
+
+import math
+from decimal import Decimal
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from rushweir.costs import amounts
+from rushweir.costs.decisions import CostRules, Counts, Rule, Term, field, price
+from rushweir.costs.routes import MOST_SEGMENTS, RouteError, Routes, http_route, pattern, rpc_route
+
+# --- amounts ----------------------------------------------------------------------------------------
+
+
+@given(st.decimals(0, 999_999_999, places=3))
+def test_amounts_are_exact(value: Decimal):
+    assert amounts.parse(str(value)) == int(value * 1000)
+    assert amounts.parse(amounts.text(int(value * 1000))) == int(value * 1000)
+    assert abs(amounts.units(int(value * 1000)) - float(value)) <= float(value) * 2**-52
+
+
+@pytest.mark.parametrize("text", ["", "-1", "1.0005", "1e3", "1,5", ".5", "1.", "9999999999", "NaN"])
+def test_what_is_no_amount(text):
+    with pytest.raises(ValueError, match="amount"):
+        amounts.parse(text)
+
+
+@pytest.mark.parametrize(
+    ("value", "expected"),
+    [(2, 2000), (0, 0), (0.0, 0), (1.2345, 1235), (0.0004, 0), (-1, None), (-0.5, None), (math.nan, None),
+     (math.inf, None), (10**300, None), (1e300, None), (10**9 + 1, None), (10**9, 10**12), (True, None), ("3", None),
+     (None, None), ([1], None)],
+)  # fmt: skip
+def test_the_cost_in_an_answer(value, expected):
+    assert amounts.truth(value) == expected
+
+
+# --- routes -----------------------------------------------------------------------------------------
+
+
+def made(*patterns: str) -> Routes[str]:
+    routes: Routes[str] = Routes()
+    for p in patterns:
+        routes.add(p, p)
+    return routes
+
+
+def test_the_more_exact_route_wins_whatever_the_order():
+    patterns = ["booking", "fleet.{what}", "fleet.**", "fleet.status", "GET /rides/{id}", "GET /rides/new",
+                "* /rides/**", "POST /rides/{id}/stops", "GET /{any}/new", "* /"]  # fmt: skip
+    for order in (patterns, patterns[::-1]):
+        routes = made(*order)
+        for route, expected in (
+            (rpc_route("booking"), "booking"), (rpc_route("fleet.status"), "fleet.status"),
+            (rpc_route("fleet.x"), "fleet.{what}"), (rpc_route("fleet.x.y"), "fleet.**"),
+            (rpc_route("fleet"), "fleet.**"),
+            (rpc_route("bookings"), None), (http_route("GET", "/rides/new"), "GET /rides/new"),
+            (http_route("GET", "/rides/7"), "GET /rides/{id}"), (http_route("PUT", "/rides/7"), "* /rides/**"),
+            (http_route("GET", "/rides/7/x"), "* /rides/**"), (http_route("GET", "/cars/new"), "GET /{any}/new"),
+            (http_route("GET", "/"), "* /"), (http_route("POST", "/rides/7/stops"), "POST /rides/{id}/stops"),
+            (("http", "GET", *["a"] * 100), None), (rpc_route("." * 1000), None),
+        ):  # fmt: skip
+            assert routes.find(route) == expected, route
+
+
+@pytest.mark.parametrize(
+    "text",
+    ["", "a.{b", "a.**.c", "get /x", "GET x", "a b", "GET /a/*/b", "a.*", "GET /{1}", "GET /a{b}",
+     "x" + ".x" * MOST_SEGMENTS],
+)  # fmt: skip
+def test_what_is_no_pattern(text):
+    with pytest.raises(RouteError):
+        pattern(text)
+
+
+def test_a_route_stands_once():
+    for twice in (("a.{x}", "a.{y}"), ("a", "a"), ("a.**", "a.**"), ("GET /{a}", "GET /{b}")):
+        with pytest.raises(RouteError, match="twice"):
+            made(*twice)
+
+
+segment = st.sampled_from(["a", "b", "{x}"])
+patterns = st.lists(
+    st.tuples(st.lists(segment, min_size=1, max_size=4), st.booleans()).map(lambda t: ".".join(t[0] + ["**"] * t[1])),
+    max_size=25, unique_by=lambda p: p,
+)  # fmt: skip
+
+
+def matches(text: str, route: tuple[str, ...]) -> tuple | None:
+    """The plain way: compare segment by segment; how exact the match is, as a sort key."""
+    want, key = pattern(text), []
+    for k, s in enumerate(want):
+        if s == "**":
+            return (*key, 2)
+        if k >= len(route) or (s != "{x}" and s != route[k]):
+            return None
+        key.append(1 if s == "{x}" else 0)
+    return (*key, -1) if len(want) == len(route) else None
+
+
+@given(patterns, st.lists(st.sampled_from("abc"), min_size=1, max_size=5))
+def test_the_trie_agrees_with_a_plain_list(texts, method):
+    route = rpc_route(".".join(method))
+    found = [(key, t) for t in texts if (key := matches(t, route)) is not None]
+    assert made(*texts).find(route) == (min(found)[1] if found else None)
+
+
+# --- prices -----------------------------------------------------------------------------------------
+
+RULE = Rule("booking", 1000, (
+    Term(Counts.SIZE, (), 100), Term(Counts.ENTRIES, field("trip.stops"), 500), Term(Counts.VALUE, ("people",), 250),
+    Term(Counts.THERE, ("return",), 2000),
+), 1200, 20_000)  # fmt: skip
+
+
+def cost(body) -> int:
+    return price(RULE, body).amount
+
+
+def test_each_term_counts_what_it_says():
+    empty = cost({})
+    assert empty == 1200  # the least
+    plain = Rule("x", 0, RULE.terms[1:])
+    assert price(plain, {"trip": {"stops": [1, 2, 3]}}).amount == 1500
+    assert price(plain, {"people": 3}).amount == 750 and price(plain, {"people": 2.5}).amount == 625
+    assert price(plain, {"return": {}}).amount == 2000
+    assert price(plain, {"return": False}).amount == price(plain, {"return": None}).amount == 0
+    found = price(plain, {"people": 2, "return": True})
+    assert found.parts == (("times people", 2000, 500), ("with return", 1000, 2000))
+    assert price(Rule("x", 0, RULE.terms[:1]), {"a": "x" * 2040}).amount == 200
+    assert cost({"trip": {"stops": list(range(1000))}}) == 20_000  # the most
+
+
+@pytest.mark.parametrize(
+    "body",
+    [None, 1, "x", [], {"trip": 1}, {"trip": {"stops": "many"}}, {"trip": {"stops": 10**9}}, {"people": "9"},
+     {"people": -5}, {"people": True}, {"people": []}, {"trip": [{"stops": []}]}],
+)  # fmt: skip
+def test_a_field_of_another_kind_adds_nothing(body):
+    assert cost(body) == 1200
+
+
+def test_numbers_in_a_body_are_bounded():
+    plain = Rule("x", 0, (Term(Counts.VALUE, ("n",), 1000),))
+    assert price(plain, {"n": 10**18}).amount == price(plain, {"n": 1e300}).amount == 10**6 * 1000
+
+
+names = st.sampled_from(["trip", "stops", "people", "return", "z"])
+plain_values = (
+    st.none() | st.booleans() | st.integers(-(2**53), 2**53) | st.floats(allow_nan=False) | st.text(max_size=5)
+)
+bodies = st.recursive(
+    plain_values, lambda x: st.lists(x, max_size=4) | st.dictionaries(names, x, max_size=4), max_leaves=15
+)
+
+
+@given(bodies)
+def test_any_body_has_a_price_between_the_bounds_that_is_the_sum_of_its_parts(body):
+    if "inf" in repr(body):
+        return
+    found = price(RULE, body)
+    assert RULE.least <= found.amount <= RULE.most
+    whole = RULE.base + sum(added for _, _, added in found.parts)
+    assert found.amount == min(RULE.most, max(RULE.least, whole))
+
+
+def test_the_default_stands_for_routes_without_a_rule():
+    rules = CostRules(Rule("default", 700), [RULE, Rule("POST /rides/{id}", 900)])
+    assert rules.rpc("look", {}).amount == 700 and rules.rpc("booking", {}).rule is RULE
+    assert rules.http("POST", "/rides/1", None).amount == 900 and rules.http("GET", "/rides/1", None).amount == 700
