Prices by route and body from the settings to the front; costs explain

With prices set, what a request counts in its quota is what was read of it, whatever it claims. Rules stand in the settings, are compiled once, and errors name their line; costs explain says which rule priced what.

--- a/rushweir/cli/main.py
+++ b/rushweir/cli/main.py
@@ -135,6 +135,49 @@
                 click.echo(f"{sign} {name} {' '.join(words)}" + (f"    # {c['origin']}" if sign == "+" else ""))
 
 
+@main.group()
+def costs() -> None:
+    """What requests cost."""
+
+
+@costs.command("explain")
+@FILE
+@click.argument("requests", nargs=-1, required=True)
+@AS_JSON
+def costs_explain(file: Path, requests: tuple[str, ...], as_json: bool) -> None:
+    """Price REQUESTS by the rules in FILE: JSON-RPC requests as text, or files with one a line; - is the input."""
+    from rushweir.costs.explain import explain
+
+    rules = _load(file).costs()
+    if rules is None:
+        click.echo(f"{file}: sets no prices; a request says itself what it counts", err=True)
+        sys.exit(2)
+    rows, bad = [], 0
+    for given in requests:
+        if given.lstrip().startswith(("{", "[")):
+            where, lines = "request", [given]
+        else:
+            try:
+                where, lines = given, click.open_file(given, encoding="utf-8").read().splitlines()
+            except (OSError, UnicodeDecodeError) as problem:
+                raise click.BadParameter(str(problem), param_hint="REQUESTS") from None
+        for k, line in enumerate(lines, 1):
+            if line.strip():
+                try:
+                    rows += explain(rules, line)
+                except ValueError as problem:
+                    click.echo(f"{where}:{k}: {problem}", err=True)
+                    bad += 1
+    if as_json:
+        click.echo(orjson.dumps(rows, option=orjson.OPT_INDENT_2))
+    else:
+        for r in rows:
+            click.echo(f"{r['method']} costs {r['cost']} by {r['rule']}" + (f" ({r['where']})" if r["where"] else ""))
+            for part in r["parts"]:
+                click.echo(f"    {part['term']}: {part['counted']}, adds {part['adds']}")
+    sys.exit(2 if bad else 0)
+
+
 @main.command()
 @click.option("--hold", is_flag=True, help="Keep the fleet up for any WebSocket client; ends with Ctrl-C.")
 @click.option("--keep", type=click.Path(path_type=Path), help="Folder for the records; a temporary one if not given.")
--- a/rushweir/config/load.py
+++ b/rushweir/config/load.py
@@ -19,6 +19,10 @@
 from rushweir.config.text import ConfigError, Directive, Problem, Spot, parse
 from rushweir.config.values import words
 from rushweir.console.sessions import read_users
+from rushweir.costs import amounts
+from rushweir.costs.decisions import CostRules, Counts, Rule, Term
+from rushweir.costs.decisions import field as field_of
+from rushweir.costs.routes import RouteError, Routes
 from rushweir.fronts.credentials import Credentials
 from rushweir.fronts.websocket import FrontSettings
 from rushweir.ingress.core import Setup
@@ -26,7 +30,8 @@
 from rushweir.link.networks import AddressSet
 from rushweir.nodes.pool import PoolSettings
 
-NAMED = {"class": "classes", "plan": "plans", "partner": "partners"}  # blocks that stand once for each name
+# Blocks that stand once for each name.
+NAMED = {"class": "classes", "plan": "plans", "partner": "partners", "cost": "costs"}
 
 
 @dataclass(frozen=True, slots=True)
@@ -98,6 +103,28 @@
             ask_discovery=f.list.mode == "ask",
         )  # fmt: skip
 
+    def costs(self) -> CostRules | None:
+        """The prices of requests; None where none are set, and each request says itself what it counts."""
+        f = self.file
+        if f.pricing is None and not f.costs:
+            return None
+        return CostRules(
+            Rule("default", f.pricing.default if f.pricing else m.ONE_UNIT, most=self._largest()),
+            [self._cost(route, block) for route, block in f.costs.items()],
+        )
+
+    def _largest(self) -> int:
+        return amounts.parse(f"{self.file.limits.largest_request:.3f}")
+
+    def _cost(self, route: str, b: m.CostBlock) -> Rule:
+        spot = self.spots.get(("costs", route))
+        largest = self._largest()
+        terms = [Term(Counts.SIZE, (), b.per_kilobyte)] if b.per_kilobyte else []
+        for kind, given in ((Counts.ENTRIES, b.each), (Counts.VALUE, b.times), (Counts.THERE, b.present)):
+            terms += [Term(kind, field_of(name), amount) for name, amount in given]
+        most = largest if b.most is None else min(b.most, largest)
+        return Rule(route, b.base, tuple(terms), min(b.least, most), most, f"{spot.file}:{spot.line}" if spot else "")
+
     def setup(self, seed: int = 0, boot: str = "") -> Setup:
         """All that makes the ingress, but for its policy."""
         f = self.file
@@ -110,7 +137,7 @@
             settings=self.settings(),
             front=FrontSettings(
                 f.path, f.clients.message, f.clients.batch, f.clients.open, f.clients.buffer,
-                f.limits.largest_request,
+                f.limits.largest_request, self.costs(),
             ),
             pool=PoolSettings(
                 f.nodes.streams, f.nodes.connections, f.nodes.connect_timeout, f.nodes.idle, f.nodes.ping,
@@ -395,6 +422,12 @@
             out.append(Problem(spot, f"{block}: {worst} is both allowed and denied"))
     if f.console is not None and f.control is None:
         out.append(Problem(spots[("console",)], "console: needs a control socket, control { socket ... }"))
+    routes: Routes[str] = Routes()
+    for route in f.costs:
+        try:
+            routes.add(route, route)
+        except RouteError as problem:
+            out.append(Problem(spots[("costs", route)], f"cost: {problem}"))
     for k, (number, _) in enumerate(f.peers.peer if f.peers else ()):
         if number >= count or number == me:
             out.append(Problem(spots[("peers", "peer", k)], f"peer {number}: no such peer of ingress {me}"))
--- a/rushweir/config/models.py
+++ b/rushweir/config/models.py
@@ -7,7 +7,21 @@
 
 from pydantic import BaseModel, ConfigDict, Field, model_validator
 
-from rushweir.config.values import Address, Duration, Net, Number, Rate, Size, Switch, WebAddress, Whole
+from rushweir.config.values import (
+    Address,
+    Amount,
+    BodyField,
+    Duration,
+    Net,
+    Number,
+    Rate,
+    Size,
+    Switch,
+    WebAddress,
+    Whole,
+)
+from rushweir.costs import amounts
+from rushweir.costs.decisions import MOST_TERMS
 
 Name = Annotated[str, Field(min_length=1, max_length=128, pattern=r"^[^\x00-\x1f\x7f]+$")]
 Share = Annotated[Number, Field(ge=0, le=1)]
@@ -140,6 +154,37 @@
     cross_zone: Number = 0.0
 
 
+Terms = Annotated[tuple[tuple[BodyField, Amount], ...], Field(json_schema_extra=EACH_LINE)]
+ONE_UNIT = amounts.Amount(amounts.THOUSANDTHS)
+NOTHING = amounts.Amount(0)
+
+
+class PricingBlock(Block):
+    """``pricing``: what requests cost whose route has no ``cost`` of its own."""
+
+    default: Amount = ONE_UNIT
+
+
+class CostBlock(Block):
+    """``cost ROUTE``: the price of requests of a route; ``limits largest-request`` is the most in any case."""
+
+    base: Amount = ONE_UNIT
+    per_kilobyte: Amount = NOTHING
+    each: Terms = ()
+    times: Terms = ()
+    present: Terms = ()
+    least: Amount = NOTHING
+    most: Amount | None = None
+
+    @model_validator(mode="after")
+    def _fits(self) -> CostBlock:
+        if self.most is not None and self.least > self.most:
+            raise ValueError("least: no more than most")
+        if len(self.each) + len(self.times) + len(self.present) >= MOST_TERMS:
+            raise ValueError(f"cost: fewer than {MOST_TERMS} terms")
+        return self
+
+
 class LogBlock(Block):
     """``log``: of each cause so many events a second are written, after a first few; the rest are counted."""
 
@@ -213,3 +258,5 @@
     classes: dict[Name, ClassBlock]
     plans: dict[Name, PlanBlock]
     partners: dict[Name, PartnerBlock] = {}
+    pricing: PricingBlock | None = None
+    costs: dict[Name, CostBlock] = {}
--- a/rushweir/config/values.py
+++ b/rushweir/config/values.py
@@ -10,6 +10,8 @@
 
 from pydantic import BeforeValidator
 
+from rushweir.costs import amounts
+from rushweir.costs import decisions as costs
 from rushweir.link.networks import network
 
 TIMES = {"ms": 1.0, "s": 1000.0, "m": 60_000.0, "h": 3_600_000.0}
@@ -77,6 +79,16 @@
     return int(word)
 
 
+def amount(word: Any) -> amounts.Amount:
+    """Thousandths of a unit of ``2``, ``0.25``."""
+    return amounts.Amount(amounts.parse(str(word)))
+
+
+def body_field(word: Any) -> str:
+    """A field of a body, ``trip.stops``."""
+    return ".".join(costs.field(str(word)))
+
+
 Duration = Annotated[float, BeforeValidator(duration)]
 Rate = Annotated[float, BeforeValidator(rate)]
 Size = Annotated[int, BeforeValidator(size)]
@@ -86,6 +98,8 @@
 Number = Annotated[float, BeforeValidator(number)]
 Whole = Annotated[int, BeforeValidator(whole)]
 Net = Annotated[Any, BeforeValidator(network)]
+Amount = Annotated[Any, BeforeValidator(amount)]
+BodyField = Annotated[str, BeforeValidator(body_field)]
 
 
 def words(value: Any, read: Any) -> list[str]:
@@ -94,12 +108,14 @@
         return [f"{value:.12g}ms"]
     if read is rate:
         return [f"{value:.12g}/s"]
+    if isinstance(value, amounts.Amount):
+        return [amounts.text(value)]
     if isinstance(value, bool):
         return ["on" if value else "off"]
     if isinstance(value, float):
         return [f"{value:.12g}"]
     if isinstance(value, tuple):
-        if len(value) == 2 and isinstance(value[0], str):
+        if len(value) == 2 and isinstance(value[0], str) and type(value[1]) is int:
             host, port = value
             return [f"[{host}]:{port}" if ":" in host else f"{host}:{port}"]
         return [w for v in value for w in words(v, None)]
--- a/rushweir/costs/amounts.py
+++ b/rushweir/costs/amounts.py
@@ -13,6 +13,10 @@
 MOST = 10**12  # of one request or answer: a thousand million units; what is more is a fault of its sender
 
 
+class Amount(int):
+    """Thousandths of a unit that stand in settings; a type of its own so that they are written as they were read."""
+
+
 def parse(text: str) -> int:
     """An amount of ``2``, ``0.25``, ``1.005``. Raises ValueError; more than three decimals are an error, since a
     rounded price is not the price that was written."""
--- a/rushweir/costs/decisions.py
+++ b/rushweir/costs/decisions.py
@@ -33,7 +33,7 @@
     SIZE = "per-kilobyte"  # of the body as compact JSON: white space is no work
     ENTRIES = "each"  # entries of an array
     VALUE = "times"  # a number
-    THERE = "with"  # whether a field is there, and neither null nor false
+    THERE = "present"  # whether a field is there, and neither null nor false
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/rushweir/costs/explain.py
@@ -0,0 +1,33 @@
+"""Which rule priced what, for people. No I/O."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from rushweir.costs import amounts
+from rushweir.costs.decisions import CostRules
+from rushweir.link import rpc
+
+
+def explain(rules: CostRules, line: str) -> list[dict[str, Any]]:
+    """The prices of the requests in a JSON-RPC message, in units as text. Raises ValueError."""
+    try:
+        message = rpc.read(line)
+    except rpc.RpcError as problem:
+        raise ValueError(str(problem)) from None
+    found = []
+    for call in message.calls if isinstance(message, rpc.Batch) else (message,):
+        if not isinstance(call, rpc.Call):
+            raise ValueError(str(call) if isinstance(call, rpc.RpcError) else "an answer, no request")
+        data = call.params.get("data") if isinstance(call.params, dict) else None
+        price = rules.rpc(call.method, data)
+        found.append(
+            {
+                "method": call.method, "cost": amounts.text(price.amount), "rule": price.rule.name,
+                "where": price.rule.where, "parts": [
+                    {"term": "base", "counted": "1", "adds": amounts.text(price.rule.base)},
+                    *({"term": t, "counted": amounts.text(n), "adds": amounts.text(a)} for t, n, a in price.parts),
+                ],
+            }
+        )  # fmt: skip
+    return found
--- a/rushweir/fronts/websocket.py
+++ b/rushweir/fronts/websocket.py
@@ -7,7 +7,7 @@
 
     data       what the node gets, unseen by the ingress
     key        text that marks repeats of one request, for classes that carry a key
-    units      what the request counts in the quota
+    units      what the request counts in the quota, where no prices are set; else it is not looked at
     within_ms  how long the client waits; the class's deadline at most
 """
 
@@ -23,6 +23,8 @@
 from websockets.frames import CloseCode
 from websockets.http11 import Request as HttpRequest
 
+from rushweir.costs import amounts
+from rushweir.costs.decisions import CostRules
 from rushweir.fronts.credentials import Credentials
 from rushweir.ingress.commands import Answer, Kind
 from rushweir.ingress.engine import Ask, Partner
@@ -45,6 +47,7 @@
     max_open: int = 1024  # requests taken and not yet answered
     buffer: int = 1_048_576  # bytes of answers that wait for a client that does not read
     largest_units: float = 1.0
+    costs: CostRules | None = None  # what requests cost; None: each says it, ``units``
 
 
 class BatchSlot:
@@ -302,6 +305,9 @@
             raise rpc.RpcError(
                 rpc.INVALID_PARAMS, f"params.key: text of at most {MOST_KEY} characters", call.id
             )
+        if self.settings.costs is not None:
+            # Priced by what was read, whatever the request claims: a claim would be the cheapest way round a quota.
+            units = amounts.units(self.settings.costs.rpc(call.method, params.get("data")).amount)
         payload = {"partner": self.partner.name, "data": params.get("data"), "units": units}
         if key is not None:
             payload["key"] = f"{self.partner.name}/{key}"  # one partner's keys never meet another's
--- a/tests/config/test_files.py
+++ b/tests/config/test_files.py
@@ -121,3 +121,57 @@
     }
     without = as_rows(load_text(BASE.split("partner ")[0], "new", tmp_path).effective())
     assert {(c["path"][0], c["after"]) for c in differ(old, without)} == {("partner", None)}
+
+
+PRICES = BASE + """\
+limits {
+    largest-request 20
+}
+pricing {
+    default 0.5
+}
+cost booking {
+    base 1
+    per-kilobyte 0.1
+    each trip.stops 0.5
+    each trip.bags 0.25
+    times people 0.25
+    present return 2
+    least 1.5
+}
+cost "fleet.{what}" {
+    base 3
+    most 4
+}
+"""
+
+
+def test_prices(tmp_path):
+    config = load_text(PRICES, "x.conf", tmp_path)
+    rules = config.costs()
+    body = {"trip": {"stops": [1, 2], "bags": [1]}, "people": 2}
+    assert rules.rpc("booking", body).amount == 1000 + 4 + 1000 + 250 + 500
+    assert rules.rpc("booking", {}).amount == 1500 and rules.rpc("look", None).amount == 500
+    assert rules.rpc("booking", {"trip": {"stops": [0] * 1000}}).amount == 20_000
+    assert rules.rpc("fleet.status", None).rule.where == "x.conf:34"
+    again = load_text(show(config.effective()), "again", tmp_path)
+    assert again.file == config.file
+    assert load_text(BASE, "x", tmp_path).costs() is None
+
+
+@pytest.mark.parametrize(
+    ("change", "expected"),
+    [
+        (("base 3", "base 3.0001"), "x.conf:35:10: cost fleet.{what} base: expected an amount such as 2 or 0.25"),
+        (('"fleet.{what}"', '"fleet.{1}"'), "x.conf:34:6: cost: '{1}' is no segment"),
+        (('"fleet.{what}"', '"fleet.**.x"'), "** can only stand last"),
+        (("each trip.bags 0.25", "each trip..bags 0.25"), "expected a field such as trip.stops"),
+        (("most 4", "most 4\n    least 5"), "least: no more than most"),
+        (("base 3\n", "base 3\n    colour red\n"), "colour: not known here"),
+    ],
+)
+def test_bad_prices(tmp_path, change, expected):
+    assert change[0] in PRICES
+    with pytest.raises(ConfigError) as caught:
+        load_text(PRICES.replace(*change), "x.conf", tmp_path)
+    assert expected in str(caught.value)
