--- a/rushweir/daemon/operations.py
+++ b/rushweir/daemon/operations.py
@@ -16,7 +16,6 @@
 from rushweir.ingress.core import Core
 from rushweir.watch.usage import MOST_PAGE
 
-SILENT_PEER_MS = 60_000.0  # peers speak only when a quota wants it, so that some quiet is no trouble
 MADE_MS = 900.0  # rows of nodes are used again for so long, unless the list changed
 GROUNDS = ("itself", "its zone", "its kind")  # whose failures set a node aside, as rules.py looks at them
 
@@ -220,7 +219,7 @@
         return [c.as_row() for c in self.core.watch.courses.last(_whole("count", count, 1, MOST_PAGE), bool(wrong))]
 
     def peers(self) -> list[dict[str, Any]]:
-        """The other ingresses, and when each was heard last."""
+        """The other ingresses, and when each was heard last. They speak when a quota wants it."""
         peers, now = self.core.peers, self.clock()
         if peers is None:
             return []
@@ -229,8 +228,7 @@
             if k != peers.me:
                 seen = peers.seen.get(k)
                 last = seen[1][-1] / 1000 if seen and seen[1] else None
-                silent = last is None or now - last > SILENT_PEER_MS
-                out.append({"ingress": k, "heard_ms": None if last is None else round(now - last), "silent": silent})
+                out.append({"ingress": k, "heard_ms": None if last is None else round(now - last)})
         return out
 
     def settings(self) -> list[dict[str, object]]:
--- a/rushweir/daemon/service.py
+++ b/rushweir/daemon/service.py
@@ -182,6 +182,8 @@
                 # Reading 10,000 partners takes seconds; it is done beside the loop, and applied in one turn of it.
                 # Meanwhile the thread gives way sooner: by default each turn of the loop may wait 5 ms for it.
                 sys.setswitchinterval(RELOAD_SWITCH_S)
+                # A million young objects are what the collector would walk through, with the loop waiting for it.
+                gc.disable()
                 new = await asyncio.to_thread(self._read)
             except ConfigError as problem:
                 first = str(problem).splitlines()[0]
@@ -191,6 +193,8 @@
                 return self._apply(*new)
             finally:
                 sys.setswitchinterval(SWITCH_S)
+                gc.freeze()  # they are the settings now, or gone by their counts: nothing to be walked through
+                gc.enable()
                 self.shell.carry_out()
                 notify("READY=1")
 
