Read again: one count of bad attempts, one way to show names, unused pieces go

Which results count against a node stood in four places and a template; a node's counts now give it, and rows carry it. Text made visible, the bound of a daemon's answer and writing a file whole stood twice or in the shell, where costs and the command line fetched it. A look-up of readers that nothing reached, a property of prices, one of the front and a clock of traces go.

--- a/rushweir/cli/main.py
+++ b/rushweir/cli/main.py
@@ -29,7 +29,7 @@
 def console_user(file: Path, name: str, remove: bool, password: str | None) -> None:
     """Add NAME to the console's users FILE, or give it another password."""
     from rushweir.console.sessions import NAME, UsersError, hash_password, read_users
-    from rushweir.ingress.shell import replace_file
+    from rushweir.files import replace_file
 
     if not NAME.match(name):
         raise click.BadParameter("letters, digits and . _ @ -, 64 at most", param_hint="NAME")
--- a/rushweir/cli/operators.py
+++ b/rushweir/cli/operators.py
@@ -17,6 +17,7 @@
 from rich.text import Text
 
 from rushweir.cli.ask import Daemon, NoDaemon, Refused
+from rushweir.link.text import printable
 
 Row = dict[str, Any]
 
@@ -73,12 +74,12 @@
 
 
 def plain(value: Any) -> str:
-    """A cell: names come from settings and lists, and must not move the cursor."""
+    """A cell."""
     if value is None:
         return "-"
     if isinstance(value, float):
         return f"{value:g}"
-    return "".join(c if c.isprintable() else "\N{REPLACEMENT CHARACTER}" for c in str(value))
+    return printable(value)
 
 
 def table(rows: list[Row], columns: dict[str, str], title: str = "") -> Table:
@@ -116,8 +117,7 @@
 
 def node_row(r: Row) -> Row:
     mark = "drained by hand" if r["by_hand"] else f"set aside: {r['aside']}" if r["aside"] else ""
-    bad = sum(n for what, n in r["results"].items() if what not in ("ok", "cancelled", "moot"))
-    return {**r, "mark": mark, "ok": r["results"].get("ok", 0), "bad": bad}
+    return {**r, "mark": mark}
 
 
 def status_lines(s: Row) -> Table:
--- a/rushweir/config/load.py
+++ b/rushweir/config/load.py
@@ -269,8 +269,6 @@
                 yield from _effective(inner, (*path, key), spots)
         elif value is not None:
             read = next((x.func for x in info.metadata if isinstance(x, BeforeValidator)), None)
-            if read is None and isinstance(value, float):
-                read = _reader_of(info.annotation)
             lines = enumerate(value) if _stands(info) == "values" else [(None, value)]
             for k, v in lines:
                 given = tuple(words(v, read))
@@ -278,10 +276,6 @@
                     yield Setting(_named_path(path), given, spots.get(path if k is None else (*path, k)))
 
 
-def _reader_of(kind: Any) -> Any:
-    return next((x.func for x in getattr(kind, "__metadata__", ()) if isinstance(x, BeforeValidator)), None)
-
-
 def _named_path(path: tuple) -> tuple[str, ...]:
     """The path as it is written: ``partners``, ``NAME``, ``plan`` is ``partner NAME``, ``plan``."""
     single = {group: word for word, group in NAMED.items()}
--- a/rushweir/console/app.py
+++ b/rushweir/console/app.py
@@ -19,6 +19,7 @@
 from rushweir.console.charts import chart
 from rushweir.console.http import Request, Response
 from rushweir.console.sessions import Session, Sessions
+from rushweir.link.text import printable
 
 HERE = Path(__file__).parent
 COOKIE = "rushweir_session"
@@ -212,11 +213,6 @@
     ]
 
 
-def printable(value: Any) -> str:
-    """Text with what can't be seen made visible: names come from settings and lists."""
-    return "".join(c if c.isprintable() else "\N{REPLACEMENT CHARACTER}" for c in str(value))
-
-
 def _matching(rows: list[dict[str, Any]], search: str) -> list[dict[str, Any]]:
     wanted = search.casefold()
     found = [r for r in rows if wanted in " ".join((*r["path"], *r["words"])).casefold()]
--- a/rushweir/console/shell.py
+++ b/rushweir/console/shell.py
@@ -22,12 +22,12 @@
 from rushweir.console.app import SAFE, App, Login, Page, Question
 from rushweir.console.http import HttpConnection, HttpError, Request, Response
 from rushweir.console.sessions import Sessions, UsersError, check_password, read_users
+from rushweir.daemon.control import MOST_ANSWER
 from rushweir.link import rpc
 
 HEAD_S, IDLE_S, WRITE_S = 10.0, 60.0, 15.0
 FRESH_S = 1.0  # for how long an answer of the daemon is shared
 MOST_SHARED = 256
-MOST_ANSWER = 16_777_216
 CONNECTIONS_EACH = 6  # that a browser opens to one host
 
 Asks = Callable[[str, dict[str, Any]], Awaitable[Any]]
--- a/rushweir/costs/decisions.py
+++ b/rushweir/costs/decisions.py
@@ -57,10 +57,6 @@
     most: int = amounts.MOST
     where: str = ""  # the place in the settings
 
-    @property
-    def needs_size(self) -> bool:
-        return any(t.counts is Counts.SIZE for t in self.terms)
-
 
 @dataclass(frozen=True, slots=True)
 class Price:
--- a/rushweir/costs/store.py
+++ b/rushweir/costs/store.py
@@ -20,7 +20,7 @@
 
 from rushweir.costs import log
 from rushweir.costs.ledger import Costs, Entry, Step
-from rushweir.ingress.shell import replace_file
+from rushweir.files import replace_file
 
 FORMAT = 1
 SYNC_S = 0.1
--- a/rushweir/daemon/operations.py
+++ b/rushweir/daemon/operations.py
@@ -103,7 +103,7 @@
                 "out": len(b.out) if b is not None else 0,
                 "slowness": round(b.slow, 2) if b is not None else None,
                 "aside": why, "mean_ms": round(seen.mean_ms, 1), "last_bad": seen.last_bad,
-                "results": dict(seen.results),
+                "results": dict(seen.results), "ok": seen.results.get("ok", 0), "bad": seen.bad,
             }  # fmt: skip
 
     def nodes(self, search: str = "", first: int = 0, count: int = 50, order: str = "address") -> dict[str, Any]:
@@ -114,7 +114,7 @@
         keys: dict[str, Callable[[dict], Any]] = {
             "address": lambda r: r["address"], "out": lambda r: -r["out"],
             "slowness": lambda r: -(r["slowness"] or 0),
-            "failures": lambda r: r["results"].get("ok", 0) - sum(r["results"].values()),
+            "failures": lambda r: r["ok"] - sum(r["results"].values()),
         }  # fmt: skip
         if order not in keys:
             raise OperatorError(f"order: one of {', '.join(keys)}")
@@ -136,8 +136,8 @@
             room["ready"] += n["state"] == i.State.READY.value
             room["aside"] += bool(n["aside"])
             room["out"] += n["out"]
-            room["ok"] += n["results"].get("ok", 0)
-            room["bad"] += sum(v for k, v in n["results"].items() if k not in ("ok", "cancelled", "moot"))
+            room["ok"] += n["ok"]
+            room["bad"] += n["bad"]
         return [found[z] for z in sorted(found)]
 
     def drain(self, address: str) -> dict[str, Any]:
--- a/rushweir/daemon/service.py
+++ b/rushweir/daemon/service.py
@@ -66,7 +66,7 @@
         settings = config.settings()
         now = self.clock()
         self.core = Core(config.setup(self.seed, self.boot + "-"), Policy(settings, self.seed, now), now)
-        self.core.watch.traced = Tracing(self.clock).course
+        self.core.watch.traced = Tracing().course
         self.since = datetime.datetime.now(datetime.UTC).isoformat(timespec="seconds")
         facts = {"pid": os.getpid(), "boot": self.boot, "since": self.since, "version": program_version()}
         self.ops = Operations(self.core, self.clock, config, facts)
--- a/rushweir/daemon/traces.py
+++ b/rushweir/daemon/traces.py
@@ -7,20 +7,19 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
-
 from opentelemetry import trace
 from opentelemetry.trace import SpanKind, StatusCode
 
 from rushweir.ingress.commands import Kind
 from rushweir.watch.courses import Course
+from rushweir.watch.watch import GOOD
 
 
 class Tracing:
     """Turns courses into spans. The ingress's clock is a wall clock in milliseconds; spans take nanoseconds."""
 
-    def __init__(self, clock: Callable[[], float], tracer: trace.Tracer | None = None) -> None:
-        self.clock, self.tracer = clock, tracer or trace.get_tracer("rushweir")
+    def __init__(self, tracer: trace.Tracer | None = None) -> None:
+        self.tracer = tracer or trace.get_tracer("rushweir")
 
     def course(self, course: Course) -> None:
         span = self.tracer.start_span(
@@ -39,7 +38,7 @@
                 "attempt", inside, kind=SpanKind.CLIENT, start_time=_ns(began),
                 attributes={f"rushweir.{name}": a[name] for name in ("number", "node", "result")},
             )  # fmt: skip
-            if a["result"] not in ("ok", "cancelled", "moot"):
+            if a["result"] not in GOOD:
                 attempt.set_status(StatusCode.ERROR, a["result"])
             attempt.end(_ns(began + a["took_ms"]))
         span.end(_ns(course.ended_ms))
--- a/rushweir/fronts/websocket.py
+++ b/rushweir/fronts/websocket.py
@@ -362,10 +362,6 @@
         if self.messages is not None:
             self.messages.ping()
 
-    @property
-    def heard(self) -> int:
-        return self.messages.heard if self.messages is not None else 0
-
     def turn_away(self) -> None:
         """Answer a connection that there is no room for, before it says anything."""
         self._plain(503, "no room for more connections", [("Retry-After", "1")])
--- a/rushweir/ingress/shell.py
+++ b/rushweir/ingress/shell.py
@@ -10,13 +10,13 @@
 
 import asyncio
 import contextlib
-import os
 import socket
 import time
 from collections.abc import Callable
 from pathlib import Path
 
 from rushweir import interface as i
+from rushweir.files import replace_file
 from rushweir.ingress import commands as c
 from rushweir.ingress.core import Core
 
@@ -323,18 +323,3 @@
 
     def error_received(self, error: OSError) -> None:
         """A peer that is down answers with an ICMP error; that it is down shows in its silence."""
-
-
-def replace_file(path: Path, data: bytes, mode: int = 0o644) -> None:
-    """Write a file so that a crash at any point leaves the old or the new one, whole."""
-    new = path.with_name(path.name + ".new")
-    with open(new, "wb", opener=lambda p, flags: os.open(p, flags, mode)) as file:
-        file.write(data)
-        file.flush()
-        os.fsync(file.fileno())
-    os.replace(new, path)
-    folder = os.open(path.parent, os.O_RDONLY)
-    try:
-        os.fsync(folder)
-    finally:
-        os.close(folder)
--- a/rushweir/watch/watch.py
+++ b/rushweir/watch/watch.py
@@ -38,6 +38,10 @@
         self.results: dict[str, int] = {}
         self.mean_ms, self.last_bad = 0.0, ""
 
+    @property
+    def bad(self) -> int:
+        return sum(n for result, n in self.results.items() if result not in GOOD)
+
 
 class Watch:
     """What is seen of one ingress. Bounded: nodes and classes by the list and the settings, the rest by rings."""
--- a/tests/console/test_console.py
+++ b/tests/console/test_console.py
@@ -132,7 +132,7 @@
            "burst": 3.0, "ceiling": None, "out": 0, "lately": 5, "lately_error": 1}  # fmt: skip
 NODE = {"address": EVIL, "zone": EVIL, "cell": 0, "kind": EVIL, "weight": 1.0, "state": "ready", "by_hand": False,
         "warmth": 1.0, "out": 0, "slowness": 1.0, "aside": "its zone", "mean_ms": 1.0, "last_bad": "timeout",
-        "results": {"ok": 5, "timeout": 2, "cancelled": 1}}  # fmt: skip
+        "results": {"ok": 5, "timeout": 2, "cancelled": 1}, "ok": 5, "bad": 2}  # fmt: skip
 EVENT = {"number": 1, "at": 1e12, "level": "warning", "cause": EVIL, "fields": {EVIL: EVIL}}
 COURSE = {"request": "b-1", "client_id": EVIL, "connection": 1, "class": EVIL, "partner": EVIL, "at": 1e12,
           "took_ms": 1.0, "kind": "failed", "why": EVIL,
--- a/tests/daemon/test_parts.py
+++ b/tests/daemon/test_parts.py
@@ -113,7 +113,7 @@
 def test_a_course_becomes_spans_with_their_own_times():
     out, provider = InMemorySpanExporter(), TracerProvider()
     provider.add_span_processor(SimpleSpanProcessor(out))
-    tracing = Tracing(lambda: 0.0, provider.get_tracer("t"))
+    tracing = Tracing(provider.get_tracer("t"))
     attempts = (
         {"number": 0, "node": "n:1", "after_ms": 5.0, "result": "timeout", "took_ms": 20.0},
         {"number": 1, "node": "n:2", "after_ms": 30.0, "result": "ok", "took_ms": 10.0},
