--- a/rushweir/config/load.py
+++ b/rushweir/config/load.py
@@ -25,8 +25,8 @@
 from rushweir.costs.routes import RouteError, Routes
 from rushweir.fronts.credentials import Credentials
 from rushweir.fronts.websocket import FrontSettings
-from rushweir.ingress.core import Setup
 from rushweir.ingress.engine import Partner
+from rushweir.ingress.websocket import Setup
 from rushweir.link.networks import AddressSet
 from rushweir.nodes.pool import PoolSettings
 
@@ -148,6 +148,7 @@
             handshake_ms=f.clients.handshake,
             ping_ms=f.clients.ping,
             unread_ms=f.clients.unread,
+            unread=f.clients.buffer,
             peer_key=self.peer_key,
             list_url=f.list.url,
             counter_url=f.counter.url if f.counter else "",
--- a/rushweir/daemon/service.py
+++ b/rushweir/daemon/service.py
@@ -26,7 +26,7 @@
 from rushweir.daemon.operations import Operations
 from rushweir.daemon.traces import Tracing
 from rushweir.ingress.core import Core
-from rushweir.ingress.shell import Clock, Shell
+from rushweir.ingress.shell import Clock, Shell, calm_collector
 from rushweir.link import rpc
 from rushweir.logs.decisions import Limiter
 from rushweir.logs.log import Log
@@ -44,14 +44,6 @@
         return "unpacked"
 
 
-def calm_collector() -> None:
-    """Reference counts free nearly all that a request makes; what the collector walks through at its default
-    pace are the settings and the rules' long-lived records, for milliseconds at a time."""
-    gc.collect()
-    gc.freeze()
-    gc.set_threshold(50_000, 20, 50)
-
-
 class Service:
     """One ingress, from its settings to its end."""
 
--- a/rushweir/discovery/source.py
+++ b/rushweir/discovery/source.py
@@ -41,7 +41,7 @@
     """One entry of a list, checked. Raises UpdateError."""
     if not isinstance(entry, dict):
         raise UpdateError(f"{where}: an object")
-    address = _text(entry, "address", where)
+    address = text(entry, "address", where)
     host, _, port = address.rpartition(":")
     if not host or not port.isdigit() or not 0 < int(port) < 65536:
         raise UpdateError(f"{where}.address: host:port, not {address[:80]!r}")
@@ -54,11 +54,11 @@
         raise UpdateError(f"{where}.cell: a whole number from 0")
     return i.Server(
         address=address,
-        zone=_text(entry, "zone", where, ""),
+        zone=text(entry, "zone", where, ""),
         cell=cell,
-        online_since_ms=_number(entry, "online_since_ms", where, 0.0),
-        weight=_number(entry, "weight", where, 1.0),
-        kind=_text(entry, "kind", where, ""),
+        online_since_ms=number(entry, "online_since_ms", where, 0.0),
+        weight=number(entry, "weight", where, 1.0),
+        kind=text(entry, "kind", where, ""),
         state=state,
     )
 
@@ -99,14 +99,14 @@
     return new
 
 
-def _text(entry: dict[str, Any], name: str, where: str, default: str | None = None) -> str:
+def text(entry: dict[str, Any], name: str, where: str, default: str | None = None) -> str:
     value = entry.get(name, default)
     if type(value) is not str or len(value) > MOST_TEXT or (default is None and not value):
         raise UpdateError(f"{where}.{name}: text of at most {MOST_TEXT} characters")
     return value
 
 
-def _number(entry: dict[str, Any], name: str, where: str, default: float) -> float:
+def number(entry: dict[str, Any], name: str, where: str, default: float) -> float:
     value = entry.get(name, default)
     if type(value) not in (int, float) or not math.isfinite(value) or not 0 <= value < 1e15:
         raise UpdateError(f"{where}.{name}: a number from 0")
--- /dev/null
+++ b/rushweir/edge/__main__.py
@@ -0,0 +1,124 @@
+"""``python -m rushweir.edge``: one ingress of the platform, in the foreground, until SIGTERM."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import socket
+import sys
+
+import orjson
+
+from rushweir.discovery.source import UpdateError
+from rushweir.edge.config import Config, load
+from rushweir.edge.setup import ACCEPTED, setup
+from rushweir.ingress import commands as c
+from rushweir.ingress.core import Core
+from rushweir.ingress.shell import Clock, Shell, calm_collector
+from rushweir.logs.decisions import Limiter
+from rushweir.rules import Policy
+
+LINES_PER_S, LINES_AT_ONCE = 2.0, 20  # of each cause
+LAST_S = 0.7  # after SIGTERM clients may still come for so long
+
+
+class Log:
+    """One JSON object a line on standard error, limited by cause."""
+
+    def __init__(self, clock: Clock) -> None:
+        self.clock, self.limiter = clock, Limiter(LINES_PER_S, LINES_AT_ONCE)
+
+    def remark(self, remark: c.Remark) -> None:
+        now = self.clock()
+        may, left_out = self.limiter.may(now, remark.cause)
+        if may:
+            line = {"at": round(now), "level": remark.level, "cause": remark.cause, **remark.fields}
+            if left_out:
+                line["left_out"] = left_out
+            sys.stderr.buffer.write(orjson.dumps(line, default=str) + b"\n")
+            sys.stderr.buffer.flush()
+
+
+class Service:
+    """One ingress, from its configuration to its end."""
+
+    def __init__(self, config: Config) -> None:
+        self.config, self.clock = config, Clock()
+        self.log = Log(self.clock)
+        now = self.clock()
+        self.core = Core(setup(config), Policy(config.settings, config.seed, now), now)
+        self.ending = asyncio.Event()
+
+    async def run(self) -> None:
+        config, core = self.config, self.core
+        listening = socket.create_server(config.listen, reuse_port=False)
+        listening.setblocking(False)
+        self.shell = shell = Shell(
+            core, self.clock, peers=dict(enumerate(config.peers)), remark=self.log.remark, high_water=0,
+            accept_at_once=ACCEPTED,
+        )  # fmt: skip
+        if config.known is not None:
+            try:
+                core.begin_with(self.clock(), core.list.known(config.known))
+            except UpdateError as problem:
+                core.tell(self.clock(), "error", "known_list_refused", why=str(problem))
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self.ending.set)
+        loop.add_signal_handler(signal.SIGINT, self.ending.set)
+        loop.add_signal_handler(signal.SIGHUP, self.reload)
+        await shell.serve(*config.listen, config.peer_listen, listening=listening)
+        calm_collector()
+        core.tell(self.clock(), "info", "started", name=config.name, listen=config.listen, sockets=config.sockets,
+                  memory_mb=config.memory_mb, cores=config.cores, backends=len(core.held))  # fmt: skip
+        shell.carry_out()
+        await self.ending.wait()
+        await self.end()
+
+    def reload(self) -> None:
+        """Take the configuration anew: whole, or not at all."""
+        now = self.clock()
+        try:
+            new = load(os.environ)
+            made = setup(new)
+        except ValueError as problem:
+            self.core.tell(now, "error", "reload_refused", why=str(problem))
+        else:
+            self.config = new
+            self.core.reload(now, made)
+            self.core.tell(now, "info", "reloaded", discovery=new.discovery)
+        self.shell.carry_out()
+
+    async def end(self) -> None:
+        """Clients may come for a while yet, and are answered; then nobody new."""
+        core, shell = self.core, self.shell
+        core.tell(self.clock(), "info", "stopping", owed=core.engine.ledger.owed)
+        core.leave(self.clock(), core.setup.settings)
+        shell.carry_out()
+        await asyncio.sleep(LAST_S)
+        longest = max(k.deadline_ms for k in core.setup.settings.classes)
+        answered = await shell.stop(longest)
+        self.log.remark(c.Remark("info", "stopped", {"answered": answered, **core.figures()}))
+
+
+def main() -> int:
+    try:
+        config = load(os.environ)
+        setup(config)
+    except ValueError as problem:
+        print(f"rushweir: {problem}", file=sys.stderr)
+        return 2
+
+    async def run() -> None:
+        await Service(config).run()
+
+    try:
+        asyncio.run(run())
+    except OSError as problem:
+        print(f"rushweir: {problem}", file=sys.stderr)
+        return 1
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/rushweir/edge/backends.py
@@ -0,0 +1,373 @@
+"""Connections to backends over HTTP/1.1, without I/O: attempts in, writes and outcomes out.
+
+A backend is known by its id in the list, never by its address, which another may inherit. A connection carries one
+request at a time; the one used last is used again first, so that the others grow old and are closed. Attempts that
+find none wait for one that is being opened, each for its own dial; what was not written never ran.
+
+    dialing --dialed--> idle <--answer-- busy      any --> gone
+                          +----write----->
+
+What is seen and what it proves (the platform's table):
+
+    200, whole                                         ok
+    503 or 504 with Srv-Declined: 1                    full: never ran
+    any other whole answer                             error: may have run
+    dial refused or too late; an end before the last
+        byte of the request was written                could not connect: never ran
+    an end, or bytes that can't be read, after that    reset: may have run
+    nothing                                            time-out, or cancelled, by this side; the connection is cut
+"""
+
+from __future__ import annotations
+
+from collections import Counter, deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+from rushweir import interface as i
+from rushweir.edge.http import AnswerReader, Malformed, Message
+from rushweir.ingress import commands as c
+
+DIALING, IDLE, BUSY, GONE = "dialing", "idle", "busy", "gone"
+IDLE_PART = 0.8  # of the time after which backends close an idle connection: its own clock may run ahead
+MOST_LOAD = 16  # figures in a load report
+
+
+@dataclass(frozen=True, slots=True)
+class PoolSettings:
+    most: int  # connections to all backends together
+    connect_timeout_ms: float = 250.0
+    idle_ms: float = 15_000.0  # after which a backend closes an idle connection, at the latest
+    probe_timeout_ms: float = 250.0
+    probe_path: bytes = b"/ping"
+    host: bytes = b"origin"
+
+
+@dataclass(frozen=True, slots=True)
+class Place:
+    """Where a backend listens, and when it last started."""
+
+    host: str
+    port: int
+    since_ms: float = 0.0
+
+
+@dataclass(slots=True)
+class Probe:
+    server: str
+    sent_ms: float
+    ended: bool = False
+
+
+class Link:
+    """One connection to a backend."""
+
+    __slots__ = ("backend", "conn", "idle_since", "job", "reader", "state", "unsent")
+
+    def __init__(self, conn: int, backend: Backend, now: float) -> None:
+        self.conn, self.backend, self.state, self.idle_since = conn, backend, DIALING, now
+        self.job: c.Attempt | Probe | None = None
+        self.unsent = False  # bytes of the request are still on this side
+        self.reader = AnswerReader()
+
+
+@dataclass(slots=True)
+class Backend:
+    id: str
+    place: Place
+    ready: bool = True
+    idle: list[Link] = field(default_factory=list)  # the one used last at the end
+    links: set[Link] = field(default_factory=set)
+    dialing: int = 0
+    waiting: deque[c.Attempt | Probe] = field(default_factory=deque)
+
+
+class Pool:
+    """All backends of one ingress. ``out`` holds orders for the shell, ``ended`` what became of attempts."""
+
+    def __init__(
+        self,
+        settings: PoolSettings,
+        where: dict[str, Place],
+        new_conn: Callable[[Any], int],
+        at: Callable[[float, Callable[..., None], Any], None],
+    ) -> None:
+        """``where``: the places of the backends of the list, kept up by who reads it."""
+        self.settings, self.where_listed, self.new_conn, self.at = settings, where, new_conn, at
+        self.nodes: dict[str, Backend] = {}  # bounded by the list, and by the connections of those that left it
+        self.links: dict[int, Link] = {}
+        self.where: dict[int, Link | Backend] = {}  # jobs not ended, by identity: on a connection, or waiting
+        self.out: list[c.Order] = []
+        self.ended: list[c.Ended | c.ProbeEnded] = []
+        self.counts: Counter[str] = Counter()
+        self.now, self.sweeping = 0.0, False
+
+    # --- what the engine wants -------------------------------------------------------------------
+
+    def send(self, now: float, attempt: c.Attempt) -> None:
+        self.now = now
+        self._place(attempt)
+
+    def probe(self, now: float, server: str) -> None:
+        self.now = now
+        probe = Probe(server, now)
+        self._place(probe)
+        self.at(now + self.settings.probe_timeout_ms, self._probe_late, probe)
+
+    def cancel(self, now: float, attempt: c.Attempt) -> None:
+        self.now = now
+        self._give_up(attempt, i.Result.CANCELLED)
+
+    def expire(self, now: float, attempt: c.Attempt) -> None:
+        self.now = now
+        self._give_up(attempt, i.Result.TIMEOUT)
+
+    def told(self, now: float, servers: dict[str, i.State]) -> None:
+        """The list as it now stands. What is not ready gets nothing that is not written yet."""
+        self.now = now
+        for name, state in servers.items():
+            place = self.where_listed.get(name)
+            if place is None:
+                continue
+            b = self.nodes.get(name)
+            if b is None:
+                b = self.nodes[name] = Backend(name, place)
+            if b.place != place:
+                # Started anew or moved: what is open leads to what was there before.
+                b.place = place
+                self._close_idle(b)
+            b.ready = state is i.State.READY
+        for name, b in list(self.nodes.items()):
+            if name not in servers:
+                b.ready = False
+            if not b.ready:
+                while b.waiting:
+                    self._end(b.waiting.popleft(), i.Result.MOOT)
+                self._close_idle(b)
+                if name not in servers and not b.links:
+                    del self.nodes[name]
+        if not self.sweeping and self.nodes:
+            self.sweeping = True
+            self._sweep(None)
+
+    # --- what happens to connections -------------------------------------------------------------
+
+    def dialed(self, now: float, conn: int) -> None:
+        self.now = now
+        link = self.links.get(conn)
+        if link is None:
+            self.out.append(c.AbortConn(conn))
+            return
+        link.backend.dialing -= 1
+        self._free(link)
+
+    def dial_failed(self, now: float, conn: int) -> None:
+        self.now = now
+        if (link := self.links.get(conn)) is None:
+            return
+        b = link.backend
+        b.dialing -= 1
+        self.counts["dials_failed"] += 1
+        self._drop(link)
+        # Each that waits has a dial of its own; connections that came free meanwhile took the oldest.
+        while len(b.waiting) > b.dialing:
+            self._end(b.waiting.popleft(), i.Result.CONNECT_FAILED)
+
+    def received(self, now: float, conn: int, data: bytes) -> None:
+        self.now = now
+        link = self.links.get(conn)
+        if link is None:
+            return
+        if link.job is None:
+            self.counts["stray_bytes"] += 1
+            self._cut(link)
+            return
+        try:
+            answer = link.reader.receive(data)
+        except Malformed as problem:
+            self.counts["spoilt_answers"] += 1
+            self.counts[f"spoilt: {problem.why[:40]}"] += 1
+            self._finish(link, i.Result.RESET)
+            self._cut(link)
+            return
+        if answer is None:
+            return
+        last = not answer.keep or link.reader.stray or link.unsent or not link.backend.ready
+        self.counts["strays"] += link.reader.stray
+        self._finish(link, _result(answer), answer)
+        if last:
+            self._cut(link)
+        else:
+            self._free(link)
+
+    def lost(self, now: float, conn: int) -> None:
+        """The connection ended, in whichever way."""
+        self.now = now
+        if (link := self.links.get(conn)) is not None:
+            if link.job is not None:
+                self._finish(link, i.Result.CONNECT_FAILED if link.unsent else i.Result.RESET)
+            self._drop(link)
+
+    def congested(self, conn: int) -> None:
+        if (link := self.links.get(conn)) is not None:
+            link.unsent = True
+
+    def drained(self, now: float, conn: int) -> None:
+        self.now = now
+        if (link := self.links.get(conn)) is not None:
+            link.unsent = False
+
+    def close_all(self, now: float) -> None:
+        self.now = now
+        for link in list(self.links.values()):
+            if link.job is not None:
+                self._finish(link, i.Result.CANCELLED)
+            self._cut(link)
+        for b in self.nodes.values():
+            while b.waiting:
+                self._end(b.waiting.popleft(), i.Result.MOOT)
+
+    # --- inside ----------------------------------------------------------------------------------
+
+    def _place(self, job: c.Attempt | Probe) -> None:
+        b = self.nodes.get(job.server)
+        if b is None or not b.ready:
+            self._end(job, i.Result.MOOT)
+            return
+        while b.idle:
+            link = b.idle.pop()
+            if self._fresh(link):
+                self._write(link, job)
+                return
+            self._cut(link)
+        if len(self.links) >= self.settings.most and not self._make_room():
+            self.counts["no_connection"] += 1
+            self._end(job, i.Result.MOOT)
+            return
+        b.waiting.append(job)
+        self.where[id(job)] = b
+        link = Link(0, b, self.now)
+        link.conn = self.new_conn(self)
+        self.links[link.conn] = link
+        b.links.add(link)
+        b.dialing += 1
+        self.counts["dials"] += 1
+        self.out.append(c.Dial(link.conn, b.place.host, b.place.port, self.settings.connect_timeout_ms))
+
+    def _fresh(self, link: Link) -> bool:
+        return self.now - link.idle_since < IDLE_PART * self.settings.idle_ms
+
+    def _make_room(self) -> bool:
+        """All connections that may be open are: the longest idle one goes."""
+        idle = [b.idle[0] for b in self.nodes.values() if b.idle]
+        if not idle:
+            return False
+        self.counts["made_room"] += 1
+        self._cut(min(idle, key=lambda k: k.idle_since))
+        return True
+
+    def _free(self, link: Link) -> None:
+        """A connection can carry the next request: one that waits for this backend, or none yet."""
+        b = link.backend
+        if not b.ready:
+            self._cut(link)
+        elif b.waiting:
+            self._write(link, b.waiting.popleft())
+        else:
+            link.state, link.idle_since = IDLE, self.now
+            b.idle.append(link)
+
+    def _write(self, link: Link, job: c.Attempt | Probe) -> None:
+        self.where[id(job)] = link
+        link.state, link.job, link.unsent = BUSY, job, False
+        link.reader.expect()
+        if isinstance(job, Probe):
+            s = self.settings
+            data = b"GET %s HTTP/1.1\r\nHost: %s\r\n\r\n" % (s.probe_path, s.host)
+        else:
+            p = job.payload
+            data = b"%sReq-Deadline-Ms: %d\r\n\r\n%s" % (p.head, max(1, int(job.until_ms - self.now)), p.body)
+        self.out.append(c.Write(link.conn, data))
+
+    def _give_up(self, attempt: c.Attempt, result: i.Result) -> None:
+        place = self.where.get(id(attempt))
+        if isinstance(place, Backend):
+            place.waiting.remove(attempt)
+            self._end(attempt, i.Result.MOOT)
+        elif place is not None:
+            self._finish(place, i.Result.CONNECT_FAILED if place.unsent else result)
+            self._cut(place)
+
+    def _finish(self, link: Link, result: i.Result, answer: Message | None = None) -> None:
+        job, link.job = link.job, None
+        self._end(job, result, answer)
+
+    def _end(self, job: c.Attempt | Probe, result: i.Result, answer: Message | None = None) -> None:
+        self.where.pop(id(job), None)
+        load = _load(answer) if answer is not None else None
+        if isinstance(job, Probe):
+            if not job.ended:
+                job.ended = True
+                self.ended.append(c.ProbeEnded(job.server, result, self.now - job.sent_ms, load))
+        elif answer is None:
+            self.ended.append(c.Ended(job, result))
+        else:
+            self.ended.append(c.Ended(job, result, answer.body, _used(answer), load=load))
+
+    def _probe_late(self, probe: Probe) -> None:
+        if not probe.ended:
+            self._give_up(probe, i.Result.TIMEOUT)
+
+    def _close_idle(self, b: Backend) -> None:
+        for link in list(b.idle):
+            self._cut(link)
+
+    def _cut(self, link: Link) -> None:
+        """End a connection from this side, at once."""
+        if link.state is not GONE:
+            self.out.append(c.AbortConn(link.conn))
+            self._drop(link)
+
+    def _drop(self, link: Link) -> None:
+        link.state = GONE
+        self.links.pop(link.conn, None)
+        b = link.backend
+        b.links.discard(link)
+        if link in b.idle:
+            b.idle.remove(link)
+        if not b.links and not b.ready and b.id not in self.where_listed:
+            self.nodes.pop(b.id, None)
+
+    def _sweep(self, _: Any) -> None:
+        """Connections that were idle for too long are closed before the backend does it."""
+        for b in self.nodes.values():
+            for link in [k for k in b.idle if not self._fresh(k)]:
+                self._cut(link)
+        self.at(self.now + self.settings.idle_ms / 10, self._sweep, None)
+
+
+def _result(answer: Message) -> i.Result:
+    if answer.status == 200:
+        return i.Result.OK
+    declined = answer.status in (503, 504) and answer.headers.get(b"srv-declined", b"").strip() == b"1"
+    return i.Result.FULL if declined else i.Result.ERROR
+
+
+def _used(answer: Message) -> int:
+    """The meter's figure as the module counts it: 1 more than the percent told; 0: nothing told, or nonsense."""
+    text = answer.headers.get(b"x-meter", b"")
+    return int(text) + 1 if text.isdigit() and len(text) < 7 else 0
+
+
+def _load(answer: Message) -> dict[str, float] | None:
+    """A load report; None where there is none that can be read. The answer is good all the same."""
+    text = answer.headers.get(b"srv-load")
+    if text is None or len(text) > 512:
+        return None
+    try:
+        fields = [part.split("=") for part in text.decode("ascii").split(",")]
+        load = {name.strip(): float(value) for name, value in fields}
+    except ValueError:
+        return None
+    return load if len(load) <= MOST_LOAD and all(0 <= v < 1e12 for v in load.values()) else None
--- /dev/null
+++ b/rushweir/edge/setup.py
@@ -0,0 +1,80 @@
+"""The platform's ingress put together: which parts, and how many descriptors each may hold. No I/O."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from rushweir.edge.backends import Place, Pool, PoolSettings
+from rushweir.edge.config import Address, Config
+from rushweir.edge.front import ClientConnection, Shared
+from rushweir.edge.members import Members
+from rushweir.edge.peers import Peers
+from rushweir.ingress import core
+
+RESERVED = 24  # listening, datagrams, discovery (two while it moves), the loop's own, standard streams, and to spare
+ACCEPTED = 16  # connections taken in one turn of the loop, above the bound, before the core closes any
+CLIENTS = 0.55  # of the rest: a third of all for those who ask, and room for those who only connect
+
+
+@dataclass(frozen=True, slots=True)
+class Budget:
+    """Descriptors of one ingress, out of its limit."""
+
+    clients: int
+    backends: int
+
+    @classmethod
+    def of(cls, sockets: int) -> Budget:
+        """Raises ValueError where the limit leaves no room to serve."""
+        rest = sockets - RESERVED - ACCEPTED
+        if rest < 16:
+            raise ValueError(f"limits.sockets: {RESERVED + ACCEPTED + 16} at least, not {sockets}")
+        clients = int(rest * CLIENTS)
+        return cls(clients, rest - clients)
+
+
+@dataclass(frozen=True, slots=True)
+class Setup(core.Setup):
+    discovery: Address = ("", 0)
+    peers: tuple[Address, ...] = ()
+    pool: PoolSettings = field(default_factory=lambda: PoolSettings(most=64))
+
+    def parts(self, core: core.Core) -> Parts:
+        where: dict[str, Place] = {}
+        shared = Shared(self.settings, core.health, lambda: core.moving or core.stopping)
+        return Parts(
+            front=lambda: ClientConnection(shared),
+            pool=Pool(self.pool, where, core.new_conn, core.engine.at),
+            list=Members(self.discovery, self.seed, where, core.new_conn, core.engine.at),
+            peers=Peers(self.settings.me, list(self.peers)) if self.settings.sharing.peers and self.peers else None,
+            shared=shared,
+        )
+
+    def adopt(self, core: core.Core) -> None:
+        core.parts.shared.adopt(self.settings)
+        core.pool.settings = self.pool
+        core.list.move(core.now, self.discovery)
+
+
+@dataclass(slots=True)
+class Parts(core.Parts):
+    shared: Shared | None = None  # what the clients' connections share
+
+
+def setup(config: Config) -> Setup:
+    """Raises ValueError where the limits leave no room to serve."""
+    budget = Budget.of(config.sockets)
+    return Setup(
+        config.settings,
+        handshake_ms=2_000.0,
+        http_idle_ms=10_000.0,
+        unread_ms=5_000.0,
+        unread=262_144,
+        seed=config.seed,
+        most_clients=budget.clients,
+        courses=2,
+        keep_list=False,
+        discovery=config.discovery,
+        peers=config.peers,
+        pool=PoolSettings(budget.backends, config.dial_ms, config.idle_ms),
+    )
--- a/rushweir/fronts/websocket.py
+++ b/rushweir/fronts/websocket.py
@@ -26,12 +26,12 @@
 from rushweir.costs import amounts
 from rushweir.costs.decisions import CostRules
 from rushweir.fronts.credentials import Credentials
+from rushweir.fronts.states import CLOSING, HEAD, HTTP, OPEN
 from rushweir.ingress.commands import Answer, Kind
 from rushweir.ingress.engine import Ask, Partner
 from rushweir.link import rpc
 from rushweir.link.websocket import Messages, server_protocol
 
-HEAD, HTTP, OPEN, CLOSING = "head", "http", "open", "closing"
 MOST_HEAD = 16384  # bytes of a request head: some proxies add long cookies, nobody needs more
 MOST_KEY = 128
 PARAMS = frozenset({"data", "key", "units", "within_ms"})
@@ -71,6 +71,9 @@
 class ClientConnection:
     """One connection of the front. Bytes in by ``receive``; bytes out by ``take``; requests by ``asked``."""
 
+    backlog = False  # requests come one by one as they are read
+    partial = timed = 0  # a message under way is watched by pings
+
     def __init__(
         self,
         settings: FrontSettings,
@@ -106,6 +109,10 @@
         asked, self.asked = self.asked, []
         return asked
 
+    def spare(self, quiet_ms: float) -> bool:
+        """A partner's connection is never given up for another's."""
+        return False
+
     def receive_eof(self) -> None:
         if self.messages is not None:
             self.messages.receive_eof()
--- a/rushweir/ingress/commands.py
+++ b/rushweir/ingress/commands.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from rushweir import interface as i
+
 # --- the engine to the core -----------------------------------------------------------------------
 
 
@@ -99,6 +101,29 @@
     fields: dict[str, Any] = field(default_factory=dict)
 
 
+# --- the pool of nodes to the core ---------------------------------------------------------------
+
+
+@dataclass(slots=True)
+class Ended:
+    """How an attempt ended, for the engine."""
+
+    attempt: Attempt
+    result: i.Result
+    body: Any = None
+    used: int = 0
+    cost: float = 0.0
+    load: dict[str, float] | None = None
+
+
+@dataclass(slots=True)
+class ProbeEnded:
+    server: str
+    result: i.Result
+    spent_ms: float
+    load: dict[str, float] | None = None
+
+
 # --- the core to the shell ------------------------------------------------------------------------
 
 
@@ -156,6 +181,6 @@
 
 __all__ = [
     "AbortConn", "Answer", "Attempt", "CallCounter", "CancelAttempt", "CloseConn", "Command", "Datagram",
-    "Dial", "ExpireAttempt", "FetchList", "Kind", "Order", "PauseReading", "ProbeNode", "Remark", "SaveList",
-    "SendAttempt", "TellPeer", "WatchList", "Write",
+    "Dial", "Ended", "ExpireAttempt", "FetchList", "Kind", "Order", "PauseReading", "ProbeEnded", "ProbeNode", "Remark",
+    "SaveList", "SendAttempt", "TellPeer", "WatchList", "Write",
 ]  # fmt: skip
--- a/rushweir/ingress/core.py
+++ b/rushweir/ingress/core.py
@@ -1,8 +1,9 @@
 """A whole ingress without I/O: connections, datagrams and time in, orders for a shell out.
 
 It joins the front's connections, the engine, the pool of nodes, the node list, the peers and the counter.
-Nothing here waits, reads a clock or opens anything, so that an ingress runs on sockets (shell.py), and as
-well in simulated time. Equal calls in equal order give equal orders.
+Which protocols these speak is the affair of a Setup, which makes the parts: ``websocket.py`` here,
+``rushweir/edge/`` for the platform's HTTP. Nothing here waits, reads a clock or opens anything, so that an ingress
+runs on sockets (shell.py), and as well in simulated time. Equal calls in equal order give equal orders.
 
 Connections are numbers. Those of clients are announced by ``accepted``; those to nodes and services are
 named in a Dial order and end in ``dialed`` or ``dial_failed``.
@@ -11,47 +12,53 @@
 from __future__ import annotations
 
 from collections import Counter, deque
-from dataclasses import dataclass, field, replace
-from typing import Any
-
-from websockets.frames import CloseCode
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, replace
+from typing import TYPE_CHECKING, Any
 
 from rushweir import interface as i
-from rushweir.counter.client import CounterClient
 from rushweir.discovery import kept
-from rushweir.discovery.pushed import PushedList
 from rushweir.discovery.source import Update, UpdateError, apply
-from rushweir.fronts.credentials import Credentials
-from rushweir.fronts.websocket import CLOSING, HEAD, HTTP, ClientConnection, FrontSettings
+from rushweir.fronts.states import CLOSING, HEAD, HTTP
 from rushweir.ingress import commands as c
-from rushweir.ingress.engine import Decides, Engine
-from rushweir.link.networks import AddressSet
-from rushweir.link.upstream import Upstream
-from rushweir.nodes.pool import Ended, Pool, PoolSettings
+from rushweir.ingress.engine import Ask, Decides, Engine
 from rushweir.overload.decisions import BEAT_MS, Overload
-from rushweir.peers.datagram import Peers
 from rushweir.watch.watch import Watch
 
+if TYPE_CHECKING:  # a tree in C, which an ingress without such networks need not load
+    from rushweir.link.networks import AddressSet
+
 LINGER_MS = 50.0  # a connection that is to be left is quiet for so long first: a request may be on its way
+MOST_DRAINED = 262_144  # bytes thrown away after an error was sent, before the connection is cut
 MOST_CLIENTS = 20_000  # connections of clients: beyond, one is answered 503 and closed
 
 
+GOING_AWAY, POLICY_VIOLATION = 1001, 1008  # RFC 6455, 7.4.1; fronts of other protocols skip them
+
+
+@dataclass(slots=True)
+class Parts:
+    """What speaks with the outside. ``front`` makes the state of a client's new connection; ``list``, ``counter``
+    and ``peers`` may be missing."""
+
+    front: Callable[[], Any]
+    pool: Any
+    list: Any = None
+    counter: Any = None
+    peers: Any = None
+
+
 @dataclass(frozen=True, slots=True)
 class Setup:
-    """All that makes an ingress, but for its policy's settings."""
+    """What an ingress is made of, whatever protocols it speaks; those that do derive from this."""
 
     settings: i.Settings
-    front: FrontSettings = field(default_factory=FrontSettings)
-    pool: PoolSettings = field(default_factory=PoolSettings)
-    credentials: Credentials = field(default_factory=lambda: Credentials({}))
     margin_ms: float = 25.0  # an answer leaves this long before the client's time is up
     handshake_ms: float = 5_000.0  # for a client's request head
     ping_ms: float = 30_000.0  # a client heard of for so long is asked whether it is there; twice: dropped
     http_idle_ms: float = 15_000.0
     unread_ms: float = 10_000.0  # a client that takes nothing of its answers for so long is dropped
-    peer_key: bytes | None = None
-    list_url: str = ""
-    counter_url: str = ""
+    unread: int = 1_048_576  # bytes of answers that wait for a client that does not read
     seed: int = 0
     boot: str = ""
     most_clients: int = MOST_CLIENTS
@@ -59,13 +66,19 @@
     courses: int = 2_000  # kept at most
     late_ms: float = 60.0  # turns of this process that come later are too late ...
     most_late_ms: float = 400.0  # ... and so late that nothing new is taken
-    client_networks: AddressSet = field(default_factory=AddressSet)  # that may connect
-    node_networks: AddressSet = field(default_factory=AddressSet)  # that nodes may stand in
+    client_networks: AddressSet | None = None  # that may connect; None: all
+    node_networks: AddressSet | None = None  # that nodes may stand in
+    keep_list: bool = True  # on disk, for the next start
+
+    def parts(self, core: Core) -> Parts:
+        raise NotImplementedError
 
+    def adopt(self, core: Core) -> None:
+        """These settings hold from now on: tell the parts."""
 
     def partners(self) -> list[tuple[str, str]]:
-        """Name and plan of each."""
-        return [(p.name, p.plan) for p in self.credentials.by_digest.values()]
+        """Name and plan of each that is known beforehand."""
+        return []
 
 
 @dataclass(slots=True)
@@ -73,13 +86,15 @@
     """A client's connection, and what of it is the core's affair."""
 
     conn: int
-    front: ClientConnection
+    front: Any
     since: float
     heard: int = 0
     asked: bool = False  # a ping is out
     held: bool = False  # reading is paused: the client does not take its answers
     helds: int = 0  # how often that was so
     ended: bool = False
+    quiet_at: float = 0.0  # when it last said something, or was answered
+    drained: int = 0  # bytes that came after the end, thrown away
 
 
 class Core:
@@ -97,20 +112,8 @@
         self.next_conn = 0
         self.counts: Counter[str] = Counter()
         self.stopping = self.moving = False
-        headers = {"User-Agent": f"rushweir ingress={s.me} zone={s.zone}"}
-        self.pool = Pool(setup.pool, headers, self._new_conn, self.engine.at)
-        self.list = None
-        if setup.list_url:
-            self.list = PushedList(
-                setup.list_url, headers, setup.seed, self._new_conn, self.engine.at, not s.ask_discovery
-            )
-        self.counter = None
-        if setup.counter_url:
-            self.counter = CounterClient(
-                setup.counter_url, headers, setup.seed, s.sharing.counter_timeout_ms or 50.0, self._new_conn,
-                self.engine.at,
-            )  # fmt: skip
-        self.peers = Peers(s.me, s.gateways, setup.peer_key) if setup.peer_key else None
+        self.parts = parts = setup.parts(self)
+        self.pool, self.list, self.counter, self.peers = parts.pool, parts.list, parts.counter, parts.peers
         self.overload = Overload(setup.late_ms, setup.most_late_ms)
         self._value_classes()
         self.listed: dict[str, i.Server] = {}  # as the list has them
@@ -149,6 +152,11 @@
                 service.link.start(now)
         self._run()
 
+    def begin_with(self, now: float, update: Update) -> None:
+        """A list known beforehand, before the start."""
+        self._at(now)
+        self._take_update(update)
+
     def next_at(self) -> float | None:
         return self.engine.next_at()
 
@@ -185,16 +193,18 @@
     def accepted(self, now: float, address: str = "") -> int:
         """A client connected from an address; returns the connection's number."""
         self._at(now)
-        conn = self._new_conn(None)
-        front = ClientConnection(self.setup.front, lambda: self.setup.credentials, self.health)
-        client = self.clients[conn] = Client(conn, front, now)
+        conn = self.new_conn(None)
+        front = self.parts.front()
+        client = self.clients[conn] = Client(conn, front, now, quiet_at=now)
         self.counts["accepted"] += 1
+        if len(self.clients) > self.setup.most_clients:
+            self._make_room(client)
         if self.stopping or len(self.clients) > self.setup.most_clients or not self.overload.takes_connections():
             self.counts["turned_away"] += 1
             front.turn_away()
             self._flush(client)
             self._run()
-        elif address and not self.setup.client_networks.allows(address):
+        elif address and (nets := self.setup.client_networks) is not None and not nets.allows(address):
             self.counts["strange_networks"] += 1
             front.forbid()
             self._flush(client)
@@ -213,21 +223,52 @@
                 handler.received(now, conn, data)
         elif not client.ended:
             was_head = client.front.state is HEAD
-            for ref, ask in client.front.receive(data):
-                partner = client.front.partner
-                assert partner is not None
-                if self.overload.takes(self.values.get((ask.cls, partner.plan), 0.0)):
-                    self.engine.request(now, conn, ref, partner, ask)
-                else:
-                    wait = self.overload.wait_ms()
-                    self.engine.turn_down(now, conn, ref, partner, ask, "overloaded", wait)
-            if was_head and client.front.state is not HEAD:
-                self._head_done(client)
             client.heard += 1
             client.asked = False
+            client.quiet_at = now
+            self._take(client, client.front.receive(data))
+            if was_head and client.front.state is not HEAD:
+                self._head_done(client)
+            if client.front.partial != (was := client.front.timed):
+                client.front.timed = client.front.partial
+                if client.front.partial > was:  # a message begun late on a connection is to end in time too
+                    self.engine.at(now + self.setup.handshake_ms, self._part_late, (client, client.front.partial))
             self._flush(client)
+        else:
+            client.drained += len(data)
+            if client.drained > MOST_DRAINED:
+                self.orders.append(c.AbortConn(conn))
         self._run()
 
+    def _take(self, client: Client, asked: Iterable[tuple[Any, Ask]]) -> None:
+        for ref, ask in asked:
+            partner = ask.partner or client.front.partner
+            assert partner is not None
+            if self.overload.takes(self.values.get((ask.cls, partner.plan), 0.0)):
+                self.engine.request(self.now, client.conn, ref, partner, ask)
+            else:
+                wait = self.overload.wait_ms()
+                self.engine.turn_down(self.now, client.conn, ref, partner, ask, "overloaded", wait)
+
+    def _part_late(self, what: tuple[Client, int]) -> None:
+        client, part = what
+        if client.front.partial == part and not client.ended and client.conn in self.clients:
+            self.counts["slow_messages"] += 1
+            client.front.time_out()
+            self._flush(client)
+
+    def _make_room(self, new: Client) -> None:
+        """No descriptor is left for a new client: the one that asked nothing for longest goes. Never one with a
+        request under way, nor one that just asked; one that never said a word goes before one that did."""
+        others = [k for k in self.clients.values() if k is not new and not k.ended]
+        spare = [k for k in others if k.front.spare(self.now - k.quiet_at)]
+        if spare:
+            oldest = min(spare, key=lambda k: (k.heard > 0, k.quiet_at))
+            self.counts["made_room"] += 1
+            oldest.ended = True
+            del self.clients[oldest.conn]
+            self.orders.append(c.AbortConn(oldest.conn))
+
     def ended(self, now: float, conn: int) -> None:
         """The other side ended its writing, or the connection broke."""
         self._at(now)
@@ -254,7 +295,7 @@
             return
         if client.ended:
             return
-        if size > self.setup.front.buffer:
+        if size > self.setup.unread:
             # It asks and never reads: its answers would fill the memory that others need.
             self._unread(client)
         elif not client.held:
@@ -282,7 +323,7 @@
 
     def _unread(self, client: Client) -> None:
         self.counts["unread"] += 1
-        self._drop(client, CloseCode.POLICY_VIOLATION, "answers are not read")
+        self._drop(client, POLICY_VIOLATION, "answers are not read")
 
     def _drop(self, client: Client, code: int, reason: str) -> None:
         client.front.fail(code, reason)
@@ -311,7 +352,7 @@
         if client.heard == heard:
             if client.front.state in (HTTP, CLOSING) or client.asked:
                 self.counts["silent_clients"] += 1
-                self._drop(client, CloseCode.GOING_AWAY, "no answer to a ping")
+                self._drop(client, GOING_AWAY, "no answer to a ping")
                 return
             client.asked = True
             client.front.ping()
@@ -333,9 +374,12 @@
             self.counts["answers_to_nobody"] += 1
             return
         client.front.answer(answer)
+        client.quiet_at = self.now
+        if client.front.backlog:
+            self._take(client, client.front.receive(b""))
         self._flush(client)
         if client.front.leaving or self.moving:
-            self._leave_if_idle(client)
+            self.leave_if_idle(client)
 
     # --- connections that this side opened -------------------------------------------------------
 
@@ -351,18 +395,20 @@
             handler.dial_failed(now, conn)
         self._run()
 
-    def _new_conn(self, owner: Any) -> int:
+    def new_conn(self, handler: Any) -> int:
+        """A new connection's number; ``handler`` is told what becomes of it, if this side opens it."""
         self.next_conn += 1
-        if owner is not None:
-            self.ups[self.next_conn] = owner if isinstance(owner, Upstream) else self.pool
+        if handler is not None:
+            self.ups[self.next_conn] = handler
         return self.next_conn
 
     # --- peers, counter, list --------------------------------------------------------------------
 
-    def datagram(self, now: float, data: bytes) -> None:
+    def datagram(self, now: float, data: bytes, address: tuple[str, int] | None = None) -> None:
+        """A datagram came, from that address."""
         self._at(now)
         if self.peers is not None:
-            told = self.peers.unpack(now, data)
+            told = self.peers.unpack(now, data, address)
             if told is not None:
                 self.engine.peer_message(now, *told)
                 self._run()
@@ -413,7 +459,7 @@
         self.watch.know_nodes(self.held)
 
     def _keep_list(self) -> None:
-        if not self.moving:
+        if not self.moving and self.setup.keep_list:
             self.orders.append(c.SaveList(kept.dump(self.listed, self.by_hand, self.now)))
 
     def drain(self, now: float, address: str, on: bool = True) -> bool:
@@ -442,31 +488,20 @@
         self.engine.adopt(now, setup.settings, setup.margin_ms)
         self.overload.adopt(setup.late_ms, setup.most_late_ms)
         self._value_classes()
-        self.pool.settings = setup.pool
         self.watch.usage.know(setup.partners())
         self.watch.know_classes({k.name: k.aim_ms for k in setup.settings.classes})
         self.watch.courses.adopt(setup.sample, setup.courses)
-        partners = {p.name: p for p in setup.credentials.by_digest.values()}
-        for client in list(self.clients.values()):
-            front = client.front
-            front.settings = setup.front
-            if front.partner is not None:
-                new = partners.get(front.partner.name)
-                if new is not None:
-                    front.partner = new
-                else:
-                    self.counts["partners_gone"] += 1
-                    front.refuse_new("partner_gone")
-                    self._leave_if_idle(client)
+        setup.adopt(self)
         self._put(Update(i.Scope.FULL, -1, tuple(self.listed.values())))
         self._run()
 
     def _known_networks(self, update: Update) -> Update:
         """An update without the nodes outside the networks where nodes may stand: a list that names them is
         wrong or altered, and the others are still needed."""
-        allows, networks = self.setup.node_networks.allows, self.setup.node_networks
-        if not networks.size:
+        networks = self.setup.node_networks
+        if networks is None or not networks.size:
             return update
+        allows = networks.allows
         strange, known = [], []
         for s in update.servers:
             (known if allows(s.address.rpartition(":")[0].strip("[]")) else strange).append(s)
@@ -498,7 +533,7 @@
             if pool.ended:
                 ended, pool.ended = pool.ended, []
                 for end in ended:
-                    if isinstance(end, Ended):
+                    if isinstance(end, c.Ended):
                         engine.outcome(
                             self.now, end.attempt, end.result, end.body, used=end.used, cost=end.cost, load=end.load
                         )
@@ -560,7 +595,7 @@
         self.moving = True
         self.engine.adopt(now, settings, self.setup.margin_ms)
         for client in list(self.clients.values()):
-            self._leave_if_idle(client)
+            self.leave_if_idle(client)
         self._run()
 
     def stop(self, now: float) -> None:
@@ -569,7 +604,7 @@
         self.stopping = True
         for client in list(self.clients.values()):
             client.front.refuse_new("stopping")
-            self._leave_if_idle(client)
+            self.leave_if_idle(client)
         self._run()
 
     def idle(self) -> bool:
@@ -591,7 +626,7 @@
                 service.link.stop(now)
         self._run()
 
-    def _leave_if_idle(self, client: Client) -> None:
+    def leave_if_idle(self, client: Client) -> None:
         """Leave a connection once nothing is open on it and nothing comes: what is read after the close frame
         gets no answer, and its sender could not tell whether it was done."""
         if not client.front.open_ids and not client.ended:
@@ -601,11 +636,11 @@
         client, heard = what
         if client.ended or client.conn not in self.clients or client.front.open_ids:
             return
-        self._leave(client) if client.heard == heard else self._leave_if_idle(client)
+        self._leave(client) if client.heard == heard else self.leave_if_idle(client)
 
     def _leave(self, client: Client) -> None:
         """Going away, or, where it is only this client that must go, a policy's ground (RFC 6455, 7.4.1)."""
         gone = client.front.leaving == "partner_gone"
-        code = CloseCode.POLICY_VIOLATION if gone else CloseCode.GOING_AWAY
+        code = POLICY_VIOLATION if gone else GOING_AWAY
         client.front.close(code, "partner no longer known" if gone else "ingress stops")
         self._flush(client)
--- a/rushweir/ingress/engine.py
+++ b/rushweir/ingress/engine.py
@@ -62,9 +62,10 @@
     """A request as a front understood it."""
 
     cls: str
-    payload: dict[str, Any]  # what goes to the node
+    payload: Any  # what goes to the node, in the form of its front and pool
     within_ms: float | None = None  # how long the client says that it waits; None: the class's deadline
     units: float = 1.0
+    partner: Partner | None = None  # whose it is, where that is not the connection's affair
 
 
 class Engine:
--- a/rushweir/ingress/shell.py
+++ b/rushweir/ingress/shell.py
@@ -10,6 +10,7 @@
 
 import asyncio
 import contextlib
+import gc
 import socket
 import time
 from collections.abc import Callable
@@ -25,6 +26,14 @@
 BACKLOG = 1024
 
 
+def calm_collector() -> None:
+    """Reference counts free nearly all that a request makes; what the collector walks through at its default
+    pace are the settings and the rules' long-lived records, for milliseconds at a time."""
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(50_000, 20, 50)
+
+
 class Clock:
     """Milliseconds that never run backwards, anchored to the wall clock once, at the start.
 
@@ -49,8 +58,13 @@
         peers: dict[int, tuple[str, int]] | None = None,
         list_file: Path | None = None,
         remark: Callable[[c.Remark], None] | None = None,
+        high_water: int = HIGH_WATER,
+        accept_at_once: int = BACKLOG,
     ) -> None:
-        """``remark`` gets the lines for the log."""
+        """``remark`` gets the lines for the log; a connection with more than ``high_water`` bytes unsent is
+        reported as congested. ``accept_at_once``: connections taken in one turn of the loop, so that a crowd
+        does not pass the bound on descriptors before the core has seen any of it."""
+        self.high_water, self.accept_at_once = high_water, accept_at_once
         self.core, self.clock, self.peers = core, clock, peers or {}
         self.list_file = list_file
         self.loop = asyncio.get_running_loop()
@@ -95,7 +109,10 @@
         self.core.start(self.clock(), last)
         self.carry_out()
         where = {"sock": listening} if listening is not None else {"host": host, "port": port}
-        self.server = await self.loop.create_server(lambda: _Connection(self), backlog=BACKLOG, **where)
+        backlog = self.accept_at_once
+        self.server = await self.loop.create_server(lambda: _Connection(self), backlog=backlog, **where)
+        if backlog < BACKLOG and listening is not None:
+            listening.listen(BACKLOG)  # what waits costs no descriptor; the loop made the queue as short as its turns
         return self.server.sockets[0].getsockname()[1]
 
     def peer_port(self) -> str:
@@ -201,7 +218,7 @@
             return
         transport.write(order.data)
         waiting = transport.get_write_buffer_size()
-        if waiting > HIGH_WATER:
+        if waiting > self.high_water:
             self.core.congested(self.clock(), order.conn, waiting)
 
     def _dial(self, order: c.Dial) -> None:
@@ -232,6 +249,10 @@
     def _abort(self, order: c.AbortConn) -> None:
         transport = self.transports.pop(order.conn, None)
         if transport is not None:
+            # The transport closes in the loop's next turn. What follows in this one may be the same request's
+            # next attempt, which must not be out before this one's connection has ended.
+            with contextlib.suppress(OSError, AttributeError):
+                transport.get_extra_info("socket").shutdown(socket.SHUT_RDWR)
             transport.abort()
 
     def _pause(self, order: c.PauseReading) -> None:
@@ -272,7 +293,7 @@
 
     def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
         shell = self.shell
-        transport.set_write_buffer_limits(high=HIGH_WATER)
+        transport.set_write_buffer_limits(high=shell.high_water)
         if self.conn is None:
             where = transport.get_extra_info("peername") or ("",)
             self.conn = shell.core.accepted(shell.clock(), where[0])
@@ -318,7 +339,7 @@
         self.shell = shell
 
     def datagram_received(self, data: bytes, address: tuple) -> None:
-        self.shell.core.datagram(self.shell.clock(), data)
+        self.shell.core.datagram(self.shell.clock(), data, address[:2])
         self.shell.carry_out()
 
     def error_received(self, error: OSError) -> None:
--- a/rushweir/nodes/pool.py
+++ b/rushweir/nodes/pool.py
@@ -78,26 +78,6 @@
     dial_failures: int = 0
 
 
-@dataclass(slots=True)
-class Ended:
-    """How an attempt ended, for the engine."""
-
-    attempt: c.Attempt
-    result: i.Result
-    body: Any = None
-    used: int = 0
-    cost: float = 0.0
-    load: dict[str, float] | None = None
-
-
-@dataclass(slots=True)
-class ProbeEnded:
-    server: str
-    result: i.Result
-    spent_ms: float
-    load: dict[str, float] | None = None
-
-
 class Pool:
     """All nodes of one ingress. ``out`` holds orders for the shell, ``ended`` what became of attempts."""
 
@@ -114,7 +94,7 @@
         self.links: dict[int, Link] = {}
         self.where: dict[int, Link] = {}  # attempts not ended, by identity
         self.out: list[c.Order] = []
-        self.ended: list[Ended | ProbeEnded] = []
+        self.ended: list[c.Ended | c.ProbeEnded] = []
         self.counts: Counter[str] = Counter()
         self.now = 0.0
 
@@ -156,7 +136,7 @@
         link = next((k for k in node.links if k.state is OPEN and k.writable), None) if node else None
         if link is None or len(link.probes) >= self.settings.streams:
             # A probe that would have to open a connection first would tell of the dial, not of the node.
-            self.ended.append(ProbeEnded(server, i.Result.CONNECT_FAILED, 0.0))
+            self.ended.append(c.ProbeEnded(server, i.Result.CONNECT_FAILED, 0.0))
             return
         link.serial += 1
         link.probes[link.serial] = now
@@ -263,7 +243,7 @@
         host, _, port = node.address.rpartition(":")
         messages = Messages(client_protocol(f"ws://{node.address}{self.settings.path}", self.settings.max_message))
         link = Link(0, node, self.now, messages)
-        link.conn = self.new_conn(link)
+        link.conn = self.new_conn(self)
         self.links[link.conn] = link
         node.links.append(link)
         self.counts["dials"] += 1
@@ -327,7 +307,7 @@
             spent = self.now - link.probes.pop(reply.id)
             load = reply.result.get("load") if isinstance(reply.result, dict) else None
             result = i.Result.OK if reply.error is None else i.Result.ERROR
-            self.ended.append(ProbeEnded(link.node.address, result, spent, _load(load)))
+            self.ended.append(c.ProbeEnded(link.node.address, result, spent, _load(load)))
             return
         attempt = link.streams.pop(reply.id, None) if isinstance(reply.id, int) else None
         if attempt is None:
@@ -367,7 +347,7 @@
 
     def _end(self, attempt: c.Attempt, result: i.Result) -> None:
         self.where.pop(id(attempt), None)
-        self.ended.append(Ended(attempt, result))
+        self.ended.append(c.Ended(attempt, result))
 
     def _gone(self, link: Link, abort: bool = False) -> None:
         """A connection is over. What waited on it never ran; what was handed over may have."""
@@ -383,7 +363,7 @@
         for attempt in list(link.streams.values()):
             self._end(attempt, i.Result.RESET)
         for sent in link.probes.values():
-            self.ended.append(ProbeEnded(link.node.address, i.Result.RESET, self.now - sent))
+            self.ended.append(c.ProbeEnded(link.node.address, i.Result.RESET, self.now - sent))
         link.waiting.clear()
         link.streams.clear()
         link.probes.clear()
@@ -399,7 +379,7 @@
     def _probe_late(self, what: tuple[Link, int]) -> None:
         link, number = what
         if (sent := link.probes.pop(number, None)) is not None:
-            self.ended.append(ProbeEnded(link.node.address, i.Result.TIMEOUT, self.now - sent))
+            self.ended.append(c.ProbeEnded(link.node.address, i.Result.TIMEOUT, self.now - sent))
 
     def _idle_check(self, link: Link) -> None:
         """Close a connection that carried nothing for a while (each costs the node a part of its capacity)."""
@@ -450,22 +430,22 @@
             self._gone(link)
 
 
-def ended(attempt: c.Attempt, reply: rpc.Reply) -> Ended:
+def ended(attempt: c.Attempt, reply: rpc.Reply) -> c.Ended:
     """What a node's answer says of its attempt."""
     if reply.error is None:
         value = reply.result if isinstance(reply.result, dict) else {"data": reply.result}
-        return Ended(
+        return c.Ended(
             attempt, i.Result.OK, ("result", value.get("data")), _count(value.get("used")),
             _amount(value.get("cost")), _load(value.get("load")),
         )  # fmt: skip
     code = reply.error["code"]
     if code == rpc.NODE_FULL:
-        return Ended(attempt, i.Result.FULL, used=_told(reply.error, "used"))
+        return c.Ended(attempt, i.Result.FULL, used=_told(reply.error, "used"))
     if code in rpc.SERVER_RANGE or code in (rpc.INTERNAL_ERROR, rpc.PARSE_ERROR, rpc.INVALID_REQUEST):
-        return Ended(attempt, i.Result.ERROR, used=_told(reply.error, "used"))
+        return c.Ended(attempt, i.Result.ERROR, used=_told(reply.error, "used"))
     # Any other code is the application's own answer ("no such ride"): the node did its work, and the client
     # is told what it said.
-    return Ended(attempt, i.Result.OK, ("error", reply.error))
+    return c.Ended(attempt, i.Result.OK, ("error", reply.error))
 
 
 def _told(error: dict[str, Any], name: str) -> int:
--- a/rushweir/peers/datagram.py
+++ b/rushweir/peers/datagram.py
@@ -62,8 +62,9 @@
         self.counts["sent"] += 1
         return message + self._tag(to, message)
 
-    def unpack(self, now: float, data: bytes) -> tuple[int, str] | None:
-        """Sender and text; None where the datagram is not to be believed, which is counted by its reason."""
+    def unpack(self, now: float, data: bytes, address: object = None) -> tuple[int, str] | None:
+        """Sender and text; None where the datagram is not to be believed, which is counted by its reason.
+        The address plays no part: the tag proves who it is."""
         if not HEAD.size + TAG <= len(data) <= MOST_BYTES:
             return self._drop("length")
         message, tag = data[:-TAG], data[-TAG:]
--- a/tests/daemon/test_parts.py
+++ b/tests/daemon/test_parts.py
@@ -23,7 +23,8 @@
 from rushweir.daemon.operations import Operations
 from rushweir.daemon.traces import Tracing
 from rushweir.ingress.commands import Kind
-from rushweir.ingress.core import Core, Setup
+from rushweir.ingress.core import Core
+from rushweir.ingress.websocket import Setup
 from rushweir.watch.courses import Course
 
 from .conftest import SETTINGS
--- a/tests/ingress/conftest.py
+++ b/tests/ingress/conftest.py
@@ -13,9 +13,10 @@
 from rushweir import interface as i
 from rushweir.fronts.credentials import Credentials, digest
 from rushweir.fronts.websocket import FrontSettings
-from rushweir.ingress.core import Core, Setup
+from rushweir.ingress.core import Core
 from rushweir.ingress.engine import Partner
 from rushweir.ingress.shell import Clock, Shell
+from rushweir.ingress.websocket import Setup
 from rushweir.lab.records import Recorder
 from rushweir.lab.standins.client import Client
 from rushweir.lab.standins.model import NodeKind
