--- a/rushweir/ingress/commands.py
+++ b/rushweir/ingress/commands.py
@@ -181,6 +181,6 @@
 
 __all__ = [
     "AbortConn", "Answer", "Attempt", "CallCounter", "CancelAttempt", "CloseConn", "Command", "Datagram",
-    "Dial", "Ended", "ExpireAttempt", "FetchList", "Kind", "Order", "PauseReading", "ProbeEnded", "ProbeNode", "Remark",
-    "SaveList", "SendAttempt", "TellPeer", "WatchList", "Write",
+    "Dial", "Ended", "ExpireAttempt", "FetchList", "Kind", "Order", "PauseReading", "ProbeEnded", "ProbeNode",
+    "Remark", "SaveList", "SendAttempt", "TellPeer", "WatchList", "Write",
 ]  # fmt: skip
