--- a/rushweir/rules.py
+++ b/rushweir/rules.py
@@ -435,8 +435,8 @@
         alive = b is not None and b.answered >= t.sends[n][1]
         if alive and (more_ms or self.room.pressed(self.now)):
             # Its server answers others: the request is long, or its own connection swallowed it. Long ones get as
-            # much time again, on slow kinds and cold servers more; then it is lost, unless the gateway is pressed, when all are long. Harm: the one in
-            # some hundred that is longer yet is begun anew.
+            # much time again, on slow kinds and cold servers more; then it is lost, unless the gateway is pressed,
+            # when all are long. Harm: the one in some hundred that is longer yet is begun anew.
             return [self.later(t, n, more_ms)] if more_ms else []
         if self.s.limits.cancel and t.cls.effect is not i.Effect.UNSAFE and self.useful(t):
             return [i.Cancel(rid, n)]
--- a/tests/test_found.py
+++ b/tests/test_found.py
@@ -206,7 +206,7 @@
     for _ in range(40):
         rid, send = gateway.ask()
         wait = next(w for r, _, w in gateway.policy.checks.values() if r == rid)
-        waits[send.server] = wait
+        waits.setdefault(send.server, wait)
         gateway.end(rid, send)
         gateway.policy.checks.clear()
         gateway.now += 100.0
