A crowd that lingers no longer turns newcomers away

Seen: with bad clients 300 of some 1,300 connections an ingress were turned away. Those turned away linger above the bound until their end has gone through, and Core._make_room gave up one for each newcomer: once above the bound all newcomers were refused. Now as many go as stand above it, first those that have their last answer.

--- a/rushweir/ingress/core.py
+++ b/rushweir/ingress/core.py
@@ -260,10 +260,12 @@
     def _make_room(self, new: Client) -> None:
         """No descriptor is left for a new client: the one that asked nothing for longest goes. Never one with a
         request under way, nor one that just asked; one that never said a word goes before one that did."""
-        others = [k for k in self.clients.values() if k is not new and not k.ended]
-        spare = [k for k in others if k.front.spare(self.now - k.quiet_at)]
-        if spare:
-            oldest = min(spare, key=lambda k: (k.heard > 0, k.quiet_at))
+        # Who has its last answer and lingers goes first: a crowd that is turned away filled the bound by lingering.
+        others = [k for k in self.clients.values() if k is not new]
+        spare = [k for k in others if k.ended or k.front.spare(self.now - k.quiet_at)]
+        spare.sort(key=lambda k: (not k.ended, k.heard > 0, k.quiet_at))
+        # As many as are above the bound: one for each newcomer left those above it there, and all were turned away.
+        for oldest in spare[: len(self.clients) - self.setup.most_clients]:
             self.counts["made_room"] += 1
             oldest.ended = True
             del self.clients[oldest.conn]
--- a/tests/edge/test_clients.py
+++ b/tests/edge/test_clients.py
@@ -186,3 +186,15 @@
     conn, _ = edge.sent()
     edge.core.ended(edge.now, conn)
     assert isinstance(edge.core.parts.shared, Shared) and not edge.core.parts.shared.open
+
+
+def test_a_crowd_that_was_turned_away_leaves_the_place_to_those_who_ask():
+    """Those turned away lingered above the bound, one went for each newcomer, and so all newcomers were refused."""
+    edge = Edge(most_clients=4)
+    for _ in range(20):  # at once: none is old enough to go
+        edge.connect()
+    assert edge.core.counts["turned_away"] > 0
+    edge.pass_ms(100.0)
+    new, up = edge.sent(request("new"))
+    edge.say(up, answer())
+    assert edge.statuses(new) == [200] and len(edge.core.clients) <= 4
--- a/tests/test_found.py
+++ b/tests/test_found.py
@@ -201,6 +201,7 @@
 
 def test_a_cold_server_gets_more_time_before_an_attempt_counts_as_lost(gateway):
     """Repeats of attempts that were only slow on cold servers cost 0.02 to 0.05 on days with new backends."""
+    gateway.serve(40)
     gateway.list(i.Server("s0", zone="a", online_since_ms=gateway.now), i.Server("s1", zone="a"))
     waits = {}
     for _ in range(40):
