Answers end their connections while many clients hold one; the longest idle makes room

Cause: clients that ask once and keep their connection. (1) front.spare kept a connection for 2 s after its answer, and newcomers were turned away, 650 in a second; (2) the idle time was 10 to 20 s; (3) clients may hold a third of the descriptors for requests, and 128 kept connections were all of it: new requests found none. Ruled out: room and quota (2,300 and 860 of 8,690), the restarts (0.7 s each), CPU, lateness. Clients' budget 0.7 in place of 0.55 of the descriptors: backends used 14 of 155.

--- a/rushweir/edge/front.py
+++ b/rushweir/edge/front.py
@@ -26,7 +26,7 @@
 MOST_CUSTOMER = 1 << 33
 TOKEN = re.compile(rb"[!-~]{1,128}\Z")  # an id or a key: visible ASCII, so that it goes on in a header as it came
 WHOLE = re.compile(rb"[0-9]{1,9}\Z")
-QUEUED_MS, IDLE_MS = 50.0, 2_000.0  # a client may be given up for others when silent so long: before and after asking
+QUIET_MS = 50.0  # a client that is owed nothing may be given up for others when silent so long
 REASONS = {
     200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 408: "Request Timeout",
     409: "Conflict", 413: "Content Too Large", 414: "URI Too Long", 429: "Too Many Requests",
@@ -56,10 +56,12 @@
     """What all connections of one ingress share: the settings, and the ids of the requests under way."""
 
     def __init__(
-        self, settings: i.Settings, health: Callable[[], tuple[int, Any]], closing: Callable[[], bool]
-    ) -> None:
-        """``closing`` tells whether connections are to be left as they are answered."""
-        self.health, self.closing = health, closing
+        self, settings: i.Settings, health: Callable[[], tuple[int, Any]], closing: Callable[[], bool], kept: int,
+    ) -> None:  # fmt: skip
+        """``closing`` tells whether connections are to be left as they are answered; above ``kept`` connections
+        that asked something they are left too."""
+        self.health, self.closing, self.kept = health, closing, kept
+        self.spoken = 0  # connections that asked something and have not ended
         self.open: set[bytes] = set()  # bounded by the connections: each has one request under way
         self.adopt(settings)
 
@@ -83,6 +85,7 @@
         self.keep = True  # whether the client wants the connection to last
         self.writes: list[bytes] = []
         self.timed = 0
+        self.spoke = False
 
     # --- bytes in --------------------------------------------------------------------------------
 
@@ -100,7 +103,7 @@
         return self.reader.begun if self.reader.message is not None and not self.end else 0
 
     def spare(self, quiet_ms: float) -> bool:
-        return self.current is None and quiet_ms > (QUEUED_MS if self.state is HEAD else IDLE_MS)
+        return self.current is None and quiet_ms > QUIET_MS
 
     def receive(self, data: bytes) -> list[tuple[bytes, Ask]]:
         """Take in bytes; returns the request that is under way from now on, if there is a new one."""
@@ -117,6 +120,8 @@
         while self.current is None and self.queue and not self.end:
             message = self.queue.pop(0)
             self.state, self.keep = HTTP, message.keep
+            self.shared.spoken += not self.spoke
+            self.spoke = True
             try:
                 ask = self._ask(message)
             except BadRequest as problem:
@@ -133,7 +138,12 @@
 
     def receive_eof(self) -> None:
         self._over()
-        self.end = True
+        self._end()
+
+    def _end(self) -> None:
+        if not self.end:
+            self.end = True
+            self.shared.spoken -= self.spoke
 
     def _over(self) -> None:
         if self.current is not None:
@@ -219,13 +229,17 @@
             self._write(502, answer.why.encode())
 
     def _write(self, status: int, body: bytes, more: bytes = b"") -> None:
-        last = not self.keep or bool(self.leaving) or self.shared.closing()
+        # Clients may hold only so many connections, and some ask once and keep theirs for good: those answered while
+        # many are open go, so that others find one left.
+        crowded = self.shared.spoken > self.shared.kept
+        last = not self.keep or crowded or bool(self.leaving) or self.shared.closing()
         head = b"HTTP/1.1 %d %s\r\nContent-Length: %d\r\n%s%s\r\n" % (
             status, REASONS.get(status, "Error").encode(), len(body), more, b"Connection: close\r\n" if last else b"",
         )  # fmt: skip
         self.writes.append(head + body)
         if last:
-            self.end, self.state = True, CLOSING
+            self._end()
+            self.state = CLOSING
 
     def take(self) -> tuple[list[bytes], bool]:
         """What is to be written, and whether the connection ends after it."""
@@ -254,7 +268,8 @@
     def fail(self, code: int, reason: str) -> None:
         """The connection is given up without a word: it is idle, or nothing of its answers is read."""
         self._over()
-        self.end, self.state = True, CLOSING
+        self._end()
+        self.state = CLOSING
 
     close = fail
 
--- a/rushweir/edge/setup.py
+++ b/rushweir/edge/setup.py
@@ -13,7 +13,9 @@
 
 RESERVED = 24  # listening, datagrams, discovery (two while it moves), the loop's own, standard streams, and to spare
 ACCEPTED = 16  # connections taken in one turn of the loop, above the bound, before the core closes any
-CLIENTS = 0.55  # of the rest: a third of all for those who ask, and room for those who only connect
+KEPT = 1 / 8  # of all: clients may hold a third for requests, and need to find some of them free
+IDLE_MS = 2_000.0  # clients that ask once and stay use up the connections that clients may hold
+CLIENTS = 0.7  # of the rest: a third of all for those who ask, and room for those who only connect
 
 
 @dataclass(frozen=True, slots=True)
@@ -22,6 +24,7 @@
 
     clients: int
     backends: int
+    kept: int  # connections of clients that asked something: above it they are left as they are answered
 
     @classmethod
     def of(cls, sockets: int) -> Budget:
@@ -30,18 +33,19 @@
         if rest < 16:
             raise ValueError(f"limits.sockets: {RESERVED + ACCEPTED + 16} at least, not {sockets}")
         clients = int(rest * CLIENTS)
-        return cls(clients, rest - clients)
+        return cls(clients, rest - clients, int(sockets * KEPT))
 
 
 @dataclass(frozen=True, slots=True)
 class Setup(core.Setup):
     discovery: Address = ("", 0)
     peers: tuple[Address, ...] = ()
+    kept: int = 128
     pool: PoolSettings = field(default_factory=lambda: PoolSettings(most=64))
 
     def parts(self, core: core.Core) -> Parts:
         where: dict[str, Place] = {}
-        shared = Shared(self.settings, core.health, lambda: core.moving or core.stopping)
+        shared = Shared(self.settings, core.health, lambda: core.moving or core.stopping, self.kept)
         return Parts(
             front=lambda: ClientConnection(shared),
             pool=Pool(self.pool, where, core.new_conn, core.engine.at),
@@ -52,6 +56,7 @@
 
     def adopt(self, core: core.Core) -> None:
         core.parts.shared.adopt(self.settings)
+        core.parts.shared.kept = self.kept
         core.pool.settings = self.pool
         core.list.move(core.now, self.discovery)
 
@@ -67,7 +72,7 @@
     return Setup(
         config.settings,
         handshake_ms=2_000.0,
-        http_idle_ms=10_000.0,
+        http_idle_ms=IDLE_MS,
         unread_ms=5_000.0,
         unread=262_144,
         seed=config.seed,
@@ -76,5 +81,6 @@
         keep_list=False,
         discovery=config.discovery,
         peers=config.peers,
+        kept=budget.kept,
         pool=PoolSettings(budget.backends, config.dial_ms, config.idle_ms),
     )
--- a/rushweir/ingress/core.py
+++ b/rushweir/ingress/core.py
@@ -268,6 +268,7 @@
         for oldest in spare[: len(self.clients) - self.setup.most_clients]:
             self.counts["made_room"] += 1
             oldest.ended = True
+            oldest.front.receive_eof()
             del self.clients[oldest.conn]
             self.orders.append(c.AbortConn(oldest.conn))
 
@@ -351,7 +352,12 @@
         client, heard, idle = what
         if client.ended or client.conn not in self.clients:
             return
-        if client.heard == heard:
+        if client.front.state is HTTP and (client.front.open_ids or client.quiet_at + idle > self.now):
+            # Plain HTTP has no ping: it ends when it was quiet for so long, to the moment.
+            due = self.now + idle if client.front.open_ids else client.quiet_at + idle
+            self.engine.at(due, self._idle, (client, client.heard, idle))
+            return
+        if client.heard == heard or client.front.state is HTTP:
             if client.front.state in (HTTP, CLOSING) or client.asked:
                 self.counts["silent_clients"] += 1
                 self._drop(client, GOING_AWAY, "no answer to a ping")
