Connections accepted in the turn of the close are served, not left open and dead

Seen: the test of a successor failed twice in 11 runs, a client that connected waited 5 s for its upgrade. The loop accepts in one step and makes the protocol in a task of its own; Shell.leave and stop closed the server in between, the task failed on the closed server, and the socket hung on the exception until the collector came, which is rare here (calm_collector). Ruled out: the shutdown of aborted connections (none is aborted there).

--- a/rushweir/ingress/shell.py
+++ b/rushweir/ingress/shell.py
@@ -131,8 +131,7 @@
         """A successor listens on the same sockets by now: take no more connections, serve each that is open until
         its first idle moment, then end as ``stop`` does. The listening socket is only closed here, so that what
         waits in its queue is the successor's."""
-        if self.server is not None:
-            self.server.close()
+        await self._stop_accepting()
         if self.udp is not None:
             # Both would read from one queue, and each would miss what the other took; sending goes on by then.
             self.loop.remove_reader(self.udp.get_extra_info("socket").fileno())
@@ -145,8 +144,7 @@
 
     async def stop(self, within_ms: float = 5_000.0) -> bool:
         """Take no more, answer what is open, close; whether all of it was answered in time."""
-        if self.server is not None:
-            self.server.close()
+        await self._stop_accepting()
         self.core.stop(self.clock())
         self.carry_out()
         end = self.loop.time() + within_ms / 1000
@@ -162,6 +160,16 @@
         await self.kill()
         return answered
 
+    async def _stop_accepting(self) -> None:
+        """Close the listening sockets, once what was accepted has its protocol: the loop makes it in a task of its
+        own, which fails when the server is closed by then, and the client's connection would be open and dead."""
+        if self.server is not None:
+            for listening in self.server.sockets:
+                self.loop.remove_reader(listening.fileno())
+            for _ in range(3):
+                await asyncio.sleep(0)
+            self.server.close()
+
     async def kill(self) -> None:
         """End everything at once, without a word to anybody; a list being written is written to its end."""
         self.dead = True
