One reading of list entries and addresses; three hostile inputs are answered, not raised

Read again: Members._server wrote the checks of discovery/source.py anew, and host:port stood three times. described() and host_port() serve both sources and the platform's configuration; a list's messages stay. Found while reading, each with a test that failed before: a query of more than 32 fields raised in the front (parse_qsl) and the client got no error; a state that is no text, and a port in other digits, raised in Members past its own handling.

--- a/rushweir/discovery/source.py
+++ b/rushweir/discovery/source.py
@@ -42,13 +42,17 @@
     if not isinstance(entry, dict):
         raise UpdateError(f"{where}: an object")
     address = text(entry, "address", where)
-    host, _, port = address.rpartition(":")
-    if not host or not port.isdigit() or not 0 < int(port) < 65536:
+    if host_port(address)[1] == 0:
         raise UpdateError(f"{where}.address: host:port, not {address[:80]!r}")
     try:
         state = i.State(entry.get("state", "ready"))
     except ValueError:
         raise UpdateError(f"{where}.state: ready, draining or gone, not {str(entry['state'])[:40]!r}") from None
+    return described(entry, where, address, "online_since_ms", state)
+
+
+def described(entry: dict[str, Any], where: str, address: str, since: str, state: i.State) -> i.Server:
+    """A server with what all sources say of one in the same words; ``since`` names the field of its start."""
     cell = entry.get("cell", 0)
     if type(cell) is not int or cell < 0:
         raise UpdateError(f"{where}.cell: a whole number from 0")
@@ -56,13 +60,21 @@
         address=address,
         zone=text(entry, "zone", where, ""),
         cell=cell,
-        online_since_ms=number(entry, "online_since_ms", where, 0.0),
+        online_since_ms=number(entry, since, where, 0.0),
         weight=number(entry, "weight", where, 1.0),
         kind=text(entry, "kind", where, ""),
         state=state,
     )
 
 
+def host_port(address: str) -> tuple[str, int]:
+    """Host, without the brackets of IPv6, and port of ``host:port``; no host and port 0 where the text is none."""
+    host, _, port = address.rpartition(":")
+    # Other digits than these pass for some in Unicode, and int() raises for a few of them.
+    known = host and port.isascii() and port.isdigit() and int(port) < 65536
+    return (host.strip("[]"), int(port)) if known else ("", 0)
+
+
 def servers(entries: Any, where: str = "servers") -> tuple[i.Server, ...]:
     """All entries of a list. Raises UpdateError; no address may stand twice."""
     if not isinstance(entries, list):
--- a/rushweir/edge/config.py
+++ b/rushweir/edge/config.py
@@ -10,6 +10,7 @@
 import orjson
 
 from rushweir import interface as i
+from rushweir.discovery.source import host_port
 from rushweir.options import settings
 
 MOST_FILE = 16_777_216
@@ -102,10 +103,10 @@
 
 
 def _address(value: Any, field: str) -> Address:
-    host, _, port = value.rpartition(":") if isinstance(value, str) else ("", "", "")
-    if not host or not port.isdigit() or not 0 <= int(port) < 65536:
+    host, port = host_port(value) if isinstance(value, str) else ("", 0)
+    if not host:
         raise ConfigError(f"{field}: host:port, not {str(value)[:80]!r}")
-    return host.strip("[]"), int(port)
+    return host, port
 
 
 def _number(limits: dict[str, Any], name: str, default: float) -> float:
--- a/rushweir/edge/front.py
+++ b/rushweir/edge/front.py
@@ -24,6 +24,7 @@
 READY = b"/_health"
 CUSTOMER = re.compile(r"[0-9a-f]{16}\Z")
 MOST_CUSTOMER = 1 << 33
+MOST_FIELDS = 32  # of a query
 TOKEN = re.compile(rb"[!-~]{1,128}\Z")  # an id or a key: visible ASCII, so that it goes on in a header as it came
 WHOLE = re.compile(rb"[0-9]{1,9}\Z")
 QUIET_MS = 50.0  # a client that is owed nothing may be given up for others when silent so long
@@ -282,7 +283,10 @@
 
 
 def _customer(query: bytes) -> str:
-    fields = parse_qsl(query.decode("latin-1"), keep_blank_values=True, max_num_fields=32)
+    try:
+        fields = parse_qsl(query.decode("latin-1"), keep_blank_values=True, max_num_fields=MOST_FIELDS)
+    except ValueError:
+        raise BadRequest(400, f"query: {MOST_FIELDS} fields at most") from None
     found = [v for k, v in fields if k == "customer"]
     if len(found) != 1 or not CUSTOMER.match(found[0]) or int(found[0], 16) >= MOST_CUSTOMER:
         raise BadRequest(400, "customer: 16 hex digits, below 2^33")
--- a/rushweir/edge/members.py
+++ b/rushweir/edge/members.py
@@ -18,7 +18,7 @@
 import orjson
 
 from rushweir import interface as i
-from rushweir.discovery.source import MOST_SERVERS, Update, UpdateError, number, text
+from rushweir.discovery.source import MOST_SERVERS, Update, UpdateError, described, host_port, text
 from rushweir.edge.backends import Place
 from rushweir.edge.http import AnswerReader, Malformed
 from rushweir.ingress import commands as c
@@ -204,23 +204,15 @@
     def _server(self, entry: Any, where: str) -> tuple[i.Server, Place]:
         if not isinstance(entry, dict):
             raise UpdateError(f"{where}: an object")
-        name, state = text(entry, "id", where), entry.get("state")
-        since = number(entry, "started_ms", where, 0.0)
-        host, _, port = text(entry, "addr", where, "").rpartition(":")
-        if state != "Gone" and (not host or not port.isdigit() or not 0 < int(port) < 65536):
+        name, state = text(entry, "id", where), text(entry, "state", where, "")
+        host, port = host_port(text(entry, "addr", where, ""))
+        if state != "Gone" and port == 0:
             raise UpdateError(f"{where}.addr: host:port")
         if state not in STATES:
-            self.remarks.append(c.Remark("warning", "list_state_unknown", {"entry": name, "state": str(state)[:40]}))
-        cell = entry.get("cell", 0)
-        if type(cell) is not int or cell < 0:
-            raise UpdateError(f"{where}.cell: a whole number from 0")
+            self.remarks.append(c.Remark("warning", "list_state_unknown", {"entry": name, "state": state[:40]}))
         # A state that is not known here is none that asks for new work.
-        server = i.Server(
-            address=name, zone=text(entry, "zone", where, ""), cell=cell, online_since_ms=since,
-            weight=number(entry, "weight", where, 1.0), kind=text(entry, "kind", where, ""),
-            state=STATES.get(state, i.State.DRAINING),
-        )  # fmt: skip
-        return server, Place(host.strip("[]"), int(port) if port.isdigit() else 0, since)
+        server = described(entry, where, name, "started_ms", STATES.get(state, i.State.DRAINING))
+        return server, Place(host, port, server.online_since_ms)
 
     def _place(self, servers: list[tuple[i.Server, Place]], full: bool) -> tuple[i.Server, ...]:
         if full:
--- a/tests/edge/test_clients.py
+++ b/tests/edge/test_clients.py
@@ -35,6 +35,7 @@
     "customer": request(customer="xyz"), "customer too large": request(customer="f" * 16),
     "method": request(method="POST"), "safe with a body": request(body=b"x"),
     "keyed without key": request(cls="booking", method="POST", body=b"x"),
+    "a query of many fields": request(customer="0000000000000001" + "&x=1" * 40),
 }  # fmt: skip
 
 
--- a/tests/edge/test_members.py
+++ b/tests/edge/test_members.py
@@ -39,6 +39,8 @@
     "entry without id": page(9, {"addr": "a:1", "state": "Ready"}, full=True),
     "address": page(9, {"id": "x", "addr": "nowhere", "state": "Ready"}, full=True),
     "twice": page(9, LIST["servers"][0], LIST["servers"][0], full=True),
+    "port in other digits": page(9, {"id": "x", "addr": "10.0.0.1:\u00b2", "state": "Ready"}, full=True),
+    "state of no kind": page(9, {**LIST["servers"][0], "state": ["Ready"]}, full=True),
     "older": page(3, full=True), "half": answer(orjson.dumps(LIST))[:60],
 }  # fmt: skip
 
