Read again: one base of both pools, one timer for idle HTTP, the room looked at once

Twins joined, behaviour kept: nodes/pool.py and edge/backends.py share ingress/pool.py (what the core drives); the trace takes its counts from Core.figures; a backend is forgotten in one place; the bound of requests ahead is one constant. Simpler: idle HTTP connections have a timer of their own in place of a case inside the pings'; which message is waited for stands in the core's record, not on the front; flags and fields that nothing used go (Probe.ended, AnswerReader.answer).

--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 .venv/bin/python:
 	$(PYTHON) -m venv .venv
 
-.venv/.run: requirements.txt requirements-run.txt | .venv/bin/python
+.venv/.run: requirements.txt requirements-edge.txt requirements-run.txt | .venv/bin/python
 	$(BIN)/pip install -q --disable-pip-version-check -r requirements-run.txt
 	touch $@
 
--- a/rushweir/edge/__main__.py
+++ b/rushweir/edge/__main__.py
@@ -45,17 +45,16 @@
     """One ingress, from its configuration to its end."""
 
     def __init__(self, config: Config) -> None:
+        """Raises ValueError where the limits leave no room to serve."""
         self.config, self.clock = config, Clock()
         self.log = Log(self.clock)
         now = self.clock()
-        self.policy = Policy(config.settings, config.seed, now)
-        self.core = Core(setup(config), self.policy, now)
+        self.core = Core(setup(config), Policy(config.settings, config.seed, now), now)
         self.ending = asyncio.Event()
 
     async def run(self) -> None:
         config, core = self.config, self.core
-        listening = socket.create_server(config.listen, reuse_port=False)
-        listening.setblocking(False)
+        listening = socket.create_server(config.listen)
         self.shell = shell = Shell(
             core, self.clock, peers=dict(enumerate(config.peers)), remark=self.log.remark, high_water=0,
             accept_at_once=ACCEPTED,
@@ -75,7 +74,7 @@
                   memory_mb=config.memory_mb, cores=config.cores, backends=len(core.held))  # fmt: skip
         shell.carry_out()
         if os.environ.get("EDGE_TRACE"):
-            self.trace(Trace(core, self.policy))
+            self.trace(Trace(core))
         await self.ending.wait()
         await self.end()
 
@@ -111,17 +110,12 @@
 
 def main() -> int:
     try:
-        config = load(os.environ)
-        setup(config)
+        service = Service(load(os.environ))
     except ValueError as problem:
         print(f"rushweir: {problem}", file=sys.stderr)
         return 2
-
-    async def run() -> None:
-        await Service(config).run()
-
     try:
-        asyncio.run(run())
+        asyncio.run(service.run())
     except OSError as problem:
         print(f"rushweir: {problem}", file=sys.stderr)
         return 1
--- a/rushweir/edge/backends.py
+++ b/rushweir/edge/backends.py
@@ -20,7 +20,7 @@
 
 from __future__ import annotations
 
-from collections import Counter, deque
+from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
@@ -28,6 +28,7 @@
 from rushweir import interface as i
 from rushweir.edge.http import AnswerReader, Malformed, Message
 from rushweir.ingress import commands as c
+from rushweir.ingress.pool import BasePool
 
 DIALING, IDLE, BUSY, GONE = "dialing", "idle", "busy", "gone"
 IDLE_PART = 0.8  # of the time after which backends close an idle connection: its own clock may run ahead
@@ -57,7 +58,6 @@
 class Probe:
     server: str
     sent_ms: float
-    ended: bool = False
 
 
 class Link:
@@ -83,7 +83,7 @@
     waiting: deque[c.Attempt | Probe] = field(default_factory=deque)
 
 
-class Pool:
+class Pool(BasePool):
     """All backends of one ingress. ``out`` holds orders for the shell, ``ended`` what became of attempts."""
 
     def __init__(
@@ -94,14 +94,11 @@
         at: Callable[[float, Callable[..., None], Any], None],
     ) -> None:
         """``where``: the places of the backends of the list, kept up by who reads it."""
-        self.settings, self.where_listed, self.new_conn, self.at = settings, where, new_conn, at
+        super().__init__(new_conn, at)
+        self.settings, self.where_listed, self.sweeping = settings, where, False
         self.nodes: dict[str, Backend] = {}  # bounded by the list, and by the connections of those that left it
         self.links: dict[int, Link] = {}
         self.where: dict[int, Link | Backend] = {}  # jobs not ended, by identity: on a connection, or waiting
-        self.out: list[c.Order] = []
-        self.ended: list[c.Ended | c.ProbeEnded] = []
-        self.counts: Counter[str] = Counter()
-        self.now, self.sweeping = 0.0, False
 
     # --- what the engine wants -------------------------------------------------------------------
 
@@ -115,14 +112,6 @@
         self._place(probe)
         self.at(now + self.settings.probe_timeout_ms, self._probe_late, probe)
 
-    def cancel(self, now: float, attempt: c.Attempt) -> None:
-        self.now = now
-        self._give_up(attempt, i.Result.CANCELLED)
-
-    def expire(self, now: float, attempt: c.Attempt) -> None:
-        self.now = now
-        self._give_up(attempt, i.Result.TIMEOUT)
-
     def told(self, now: float, servers: dict[str, i.State]) -> None:
         """The list as it now stands. What is not ready gets nothing that is not written yet."""
         self.now = now
@@ -145,8 +134,7 @@
                 while b.waiting:
                     self._end(b.waiting.popleft(), i.Result.MOOT)
                 self._close_idle(b)
-                if name not in servers and not b.links:
-                    self.nodes.pop(name, None)  # unless its last connection took it along
+                self._forget(b)
         if not self.sweeping and self.nodes:
             self.sweeping = True
             self._sweep(None)
@@ -290,11 +278,11 @@
             data = b"%sReq-Deadline-Ms: %d\r\n\r\n%s" % (p.head, max(1, int(job.until_ms - self.now)), p.body)
         self.out.append(c.Write(link.conn, data))
 
-    def _give_up(self, attempt: c.Attempt, result: i.Result) -> None:
-        place = self.where.get(id(attempt))
+    def _give_up(self, job: c.Attempt | Probe, result: i.Result) -> None:
+        place = self.where.get(id(job))
         if isinstance(place, Backend):
-            place.waiting.remove(attempt)
-            self._end(attempt, i.Result.MOOT)
+            place.waiting.remove(job)
+            self._end(job, i.Result.MOOT)
         elif place is not None:
             self._finish(place, i.Result.CONNECT_FAILED if place.unsent else result)
             self._cut(place)
@@ -307,17 +295,14 @@
         self.where.pop(id(job), None)
         load = _load(answer) if answer is not None else None
         if isinstance(job, Probe):
-            if not job.ended:
-                job.ended = True
-                self.ended.append(c.ProbeEnded(job.server, result, self.now - job.sent_ms, load))
+            self.ended.append(c.ProbeEnded(job.server, result, self.now - job.sent_ms, load))
         elif answer is None:
             self.ended.append(c.Ended(job, result))
         else:
             self.ended.append(c.Ended(job, result, answer.body, _used(answer), load=load))
 
     def _probe_late(self, probe: Probe) -> None:
-        if not probe.ended:
-            self._give_up(probe, i.Result.TIMEOUT)
+        self._give_up(probe, i.Result.TIMEOUT)  # nothing, if it ended
 
     def _close_idle(self, b: Backend) -> None:
         for link in list(b.idle):
@@ -336,6 +321,10 @@
         b.links.discard(link)
         if link in b.idle:
             b.idle.remove(link)
+        self._forget(b)
+
+    def _forget(self, b: Backend) -> None:
+        """A backend that left the list is dropped with its last connection."""
         if not b.links and not b.ready and b.id not in self.where_listed:
             self.nodes.pop(b.id, None)
 
--- a/rushweir/edge/front.py
+++ b/rushweir/edge/front.py
@@ -16,7 +16,7 @@
 from urllib.parse import parse_qsl
 
 from rushweir import interface as i
-from rushweir.edge.http import Malformed, Message, RequestReader
+from rushweir.edge.http import MOST_QUEUED, TOO_MANY, Malformed, Message, RequestReader
 from rushweir.fronts.states import CLOSING, HEAD, HTTP
 from rushweir.ingress.commands import Answer, Kind
 from rushweir.ingress.engine import Ask, Partner
@@ -85,7 +85,6 @@
         self.current: bytes | None = None  # the id of the request under way
         self.keep = True  # whether the client wants the connection to last
         self.writes: list[bytes] = []
-        self.timed = 0
         self.spoke = False
 
     # --- bytes in --------------------------------------------------------------------------------
@@ -116,8 +115,8 @@
             except Malformed as fault:
                 self.queue += self.reader.done
                 self.fault = fault
-            if len(self.queue) > 64:
-                self.fault = Malformed(400, "too many requests ahead of their answers")
+            if len(self.queue) > MOST_QUEUED:
+                self.fault = Malformed(400, TOO_MANY)
         while self.current is None and self.queue and not self.end:
             message = self.queue.pop(0)
             self.state, self.keep = HTTP, message.keep
--- a/rushweir/edge/http.py
+++ b/rushweir/edge/http.py
@@ -12,7 +12,9 @@
 MOST_HEAD = 16_384  # bytes of a head; some proxies add long cookies, nobody needs more
 MOST_HEADERS = 100
 MOST_BODY = 65_536
+MOST_PIECES = 8192  # of a body: chunks of a few bytes each cost many times their size
 MOST_QUEUED = 64  # whole requests that wait for the answer of the one before them
+TOO_MANY = "too many requests ahead of their answers"
 
 
 class Malformed(Exception):
@@ -98,7 +100,7 @@
                 self.size += len(data)
                 if self.size > MOST_HEAD:
                     raise Malformed(431, "head too long")
-            elif len(self.parts) > 8192:  # chunks of a few bytes each cost many times their size
+            elif len(self.parts) > MOST_PIECES:
                 raise Malformed(413, "body in too many pieces")
         done, self.done = self.done, []
         return done
@@ -123,7 +125,7 @@
     def on_message_complete(self) -> None:
         super().on_message_complete()
         if len(self.done) > MOST_QUEUED:
-            self._refuse(400, "too many requests ahead of their answers")
+            self._refuse(400, TOO_MANY)
 
 
 class AnswerReader(_Reader):
@@ -132,12 +134,11 @@
 
     def __init__(self, most_body: int = MOST_BODY) -> None:
         super().__init__(httptools.HttpResponseParser, most_body)
-        self.answer: Message | None = None
         self.owed = self.stray = False
         self.heads = 0
 
     def expect(self) -> None:
-        self.owed, self.answer, self.heads = True, None, 0
+        self.owed, self.heads = True, 0
 
     def on_message_begin(self) -> None:
         if not self.owed:
--- a/rushweir/edge/setup.py
+++ b/rushweir/edge/setup.py
@@ -9,7 +9,7 @@
 from rushweir.edge.front import ClientConnection, Shared
 from rushweir.edge.members import Members
 from rushweir.edge.peers import Peers
-from rushweir.ingress import core
+from rushweir.ingress import core as base
 
 RESERVED = 24  # listening, datagrams, discovery (two while it moves), the loop's own, standard streams, and to spare
 ACCEPTED = 16  # connections taken in one turn of the loop, above the bound, before the core closes any
@@ -37,13 +37,13 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Setup(core.Setup):
+class Setup(base.Setup):
     discovery: Address = ("", 0)
     peers: tuple[Address, ...] = ()
     kept: int = 128
     pool: PoolSettings = field(default_factory=lambda: PoolSettings(most=64))
 
-    def parts(self, core: core.Core) -> Parts:
+    def parts(self, core: base.Core) -> Parts:
         where: dict[str, Place] = {}
         shared = Shared(self.settings, core.health, lambda: core.moving or core.stopping, self.kept)
         return Parts(
@@ -54,7 +54,7 @@
             shared=shared,
         )
 
-    def adopt(self, core: core.Core) -> None:
+    def adopt(self, core: base.Core) -> None:
         core.parts.shared.adopt(self.settings)
         core.parts.shared.kept = self.kept
         core.pool.settings = self.pool
@@ -62,7 +62,7 @@
 
 
 @dataclass(slots=True)
-class Parts(core.Parts):
+class Parts(base.Parts):
     shared: Shared | None = None  # what the clients' connections share
 
 
--- a/rushweir/edge/trace.py
+++ b/rushweir/edge/trace.py
@@ -13,18 +13,19 @@
 from rushweir.ingress.core import Core
 from rushweir.rules import Policy
 
+PARTS = {"engine": "", "refusals": "no_", "pool": "pool_", "core": "core_", "peers": "peers_"}  # and their prefixes
+
 
 class Trace:
-    def __init__(self, core: Core, policy: Policy) -> None:
-        self.core, self.policy, self.last, self.cpu = core, policy, Counter[str](), time.process_time()
+    def __init__(self, core: Core) -> None:
+        """Of a core that the module's own Policy decides for."""
+        self.core, self.last, self.cpu = core, Counter[str](), time.process_time()
 
     def line(self, now: float) -> dict[str, Any]:
-        core, room, fleet = self.core, self.policy.room, self.policy.fleet
-        counts = Counter(core.engine.counts) + Counter({f"no_{k}": n for k, n in core.engine.refusals.items()})
-        counts += Counter({f"pool_{k}": n for k, n in core.pool.counts.items()})
-        counts += Counter({f"core_{k}": n for k, n in core.counts.items()})
-        if core.peers is not None:
-            counts += Counter({f"peers_{k}": n for k, n in core.peers.counts.items()})
+        core, policy, figures = self.core, self.core.engine.policy, self.core.figures()
+        assert isinstance(policy, Policy)
+        room, fleet = policy.room, policy.fleet
+        counts = Counter({prefix + k: n for part, prefix in PARTS.items() for k, n in figures[part].items()})
         cpu = time.process_time()
         since, self.last, spent, self.cpu = counts - self.last, counts, cpu - self.cpu, cpu
         return {
@@ -32,9 +33,9 @@
             "room": [round(sum(room.parts.sizes), 2), round(sum(room.parts.used), 2)], "pressed": room.pressed(now),
             "credit": round(room.credit), "done_per_s": round(room.finished.per_s(now), 1),
             "lengths": {n: round(m.value) for n, m in room.length.items()}, "median": round(room.median, 2),
-            "owed": core.engine.ledger.owed, "clients": len(core.clients), "links": len(core.pool.links),
-            "customers": len(self.policy.quota.customers), "held": len(self.policy.quota.held),
-            "mail": sum(map(len, self.policy.quota.mail.waiting.values())),
+            "owed": figures["owed"], "clients": figures["clients"], "links": figures["links"],
+            "customers": len(policy.quota.customers), "held": len(policy.quota.held),
+            "mail": sum(map(len, policy.quota.mail.waiting.values())),
             "backends": {
                 b.entry.address: [len(b.out), round(b.slow, 2), round(b.health[0].fail(now), 2), b.entry.state.value]
                 for b in fleet.servers.values()
--- a/rushweir/fronts/websocket.py
+++ b/rushweir/fronts/websocket.py
@@ -72,7 +72,7 @@
     """One connection of the front. Bytes in by ``receive``; bytes out by ``take``; requests by ``asked``."""
 
     backlog = False  # requests come one by one as they are read
-    partial = timed = 0  # a message under way is watched by pings
+    partial = 0  # a message under way is watched by pings
 
     def __init__(
         self,
--- a/rushweir/ingress/core.py
+++ b/rushweir/ingress/core.py
@@ -31,8 +31,6 @@
 LINGER_MS = 50.0  # a connection that is to be left is quiet for so long first: a request may be on its way
 MOST_DRAINED = 262_144  # bytes thrown away after an error was sent, before the connection is cut
 MOST_CLIENTS = 20_000  # connections of clients: beyond, one is answered 503 and closed
-
-
 GOING_AWAY, POLICY_VIOLATION = 1001, 1008  # RFC 6455, 7.4.1; fronts of other protocols skip them
 
 
@@ -94,6 +92,7 @@
     helds: int = 0  # how often that was so
     ended: bool = False
     quiet_at: float = 0.0  # when it last said something, or was answered
+    timed: int = 0  # the last message begun whose end is waited for
     drained: int = 0  # bytes that came after the end, thrown away
 
 
@@ -229,10 +228,10 @@
             self._take(client, client.front.receive(data))
             if was_head and client.front.state is not HEAD:
                 self._head_done(client)
-            if client.front.partial != (was := client.front.timed):
-                client.front.timed = client.front.partial
-                if client.front.partial > was:  # a message begun late on a connection is to end in time too
-                    self.engine.at(now + self.setup.handshake_ms, self._part_late, (client, client.front.partial))
+            if (part := client.front.partial) > client.timed:
+                # A message begun late on a connection is to end in time too.
+                client.timed = part
+                self.engine.at(now + self.setup.handshake_ms, self._part_late, (client, part))
             self._flush(client)
         else:
             client.drained += len(data)
@@ -343,8 +342,23 @@
             self._flush(client)
 
     def _head_done(self, client: Client) -> None:
-        idle = self.setup.http_idle_ms if client.front.state is HTTP else self.setup.ping_ms
-        self.engine.at(self.now + idle, self._idle, (client, client.heard, idle))
+        if client.front.state is HTTP:
+            idle = self.setup.http_idle_ms
+            self.engine.at(self.now + idle, self._idle_http, (client, idle))
+        else:
+            idle = self.setup.ping_ms
+            self.engine.at(self.now + idle, self._idle, (client, client.heard, idle))
+
+    def _idle_http(self, what: tuple[Client, float]) -> None:
+        """Plain HTTP has no ping: a connection ends when nothing was open on it for so long, to the moment."""
+        client, idle = what
+        if client.ended or client.conn not in self.clients:
+            return
+        due = (self.now if client.front.open_ids else client.quiet_at) + idle
+        if due > self.now:
+            self.engine.at(due, self._idle_http, what)
+        else:
+            self._silent(client)
 
     def _idle(self, what: tuple[Client, int, float]) -> None:
         """A client that was silent for a while is asked whether it is there; without any word it is dropped:
@@ -352,21 +366,19 @@
         client, heard, idle = what
         if client.ended or client.conn not in self.clients:
             return
-        if client.front.state is HTTP and (client.front.open_ids or client.quiet_at + idle > self.now):
-            # Plain HTTP has no ping: it ends when it was quiet for so long, to the moment.
-            due = self.now + idle if client.front.open_ids else client.quiet_at + idle
-            self.engine.at(due, self._idle, (client, client.heard, idle))
-            return
-        if client.heard == heard or client.front.state is HTTP:
-            if client.front.state in (HTTP, CLOSING) or client.asked:
-                self.counts["silent_clients"] += 1
-                self._drop(client, GOING_AWAY, "no answer to a ping")
+        if client.heard == heard:
+            if client.front.state is CLOSING or client.asked:
+                self._silent(client)
                 return
             client.asked = True
             client.front.ping()
             self._flush(client)
         self.engine.at(self.now + idle, self._idle, (client, client.heard, idle))
 
+    def _silent(self, client: Client) -> None:
+        self.counts["silent_clients"] += 1
+        self._drop(client, GOING_AWAY, "no answer to a ping")
+
     def _flush(self, client: Client) -> None:
         writes, end = client.front.take()
         if writes:
--- a/rushweir/ingress/websocket.py
+++ b/rushweir/ingress/websocket.py
@@ -8,13 +8,13 @@
 from rushweir.discovery.pushed import PushedList
 from rushweir.fronts.credentials import Credentials
 from rushweir.fronts.websocket import ClientConnection, FrontSettings
-from rushweir.ingress import core
+from rushweir.ingress import core as base
 from rushweir.nodes.pool import Pool, PoolSettings
 from rushweir.peers.datagram import Peers
 
 
 @dataclass(frozen=True, slots=True)
-class Setup(core.Setup):
+class Setup(base.Setup):
     front: FrontSettings = field(default_factory=FrontSettings)
     pool: PoolSettings = field(default_factory=PoolSettings)
     credentials: Credentials = field(default_factory=lambda: Credentials({}))
@@ -22,10 +22,10 @@
     list_url: str = ""
     counter_url: str = ""
 
-    def parts(self, core: core.Core) -> core.Parts:
+    def parts(self, core: base.Core) -> base.Parts:
         s, at = self.settings, core.engine.at
         headers = {"User-Agent": f"rushweir ingress={s.me} zone={s.zone}"}
-        made = Parts(
+        made = base.Parts(
             lambda: ClientConnection(core.setup.front, lambda: core.setup.credentials, core.health),
             Pool(self.pool, headers, core.new_conn, at),
         )
@@ -39,7 +39,7 @@
             made.peers = Peers(s.me, s.gateways, self.peer_key)
         return made
 
-    def adopt(self, core: core.Core) -> None:
+    def adopt(self, core: base.Core) -> None:
         """Connections stay, those of a partner that is gone until their open requests are answered."""
         core.pool.settings = self.pool
         partners = {p.name: p for p in self.credentials.by_digest.values()}
@@ -57,6 +57,3 @@
 
     def partners(self) -> list[tuple[str, str]]:
         return [(p.name, p.plan) for p in self.credentials.by_digest.values()]
-
-
-Parts = core.Parts
--- a/rushweir/nodes/pool.py
+++ b/rushweir/nodes/pool.py
@@ -13,7 +13,7 @@
 
 from __future__ import annotations
 
-from collections import Counter, OrderedDict
+from collections import OrderedDict
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
@@ -22,6 +22,7 @@
 
 from rushweir import interface as i
 from rushweir.ingress import commands as c
+from rushweir.ingress.pool import BasePool
 from rushweir.link import rpc
 from rushweir.link.websocket import Messages, client_protocol
 
@@ -78,7 +79,7 @@
     dial_failures: int = 0
 
 
-class Pool:
+class Pool(BasePool):
     """All nodes of one ingress. ``out`` holds orders for the shell, ``ended`` what became of attempts."""
 
     def __init__(
@@ -88,15 +89,11 @@
         new_conn: Callable[[Any], int],
         at: Callable[[float, Callable[..., None], Any], None],
     ) -> None:
-        """``new_conn`` names a connection and registers its handler; ``at`` sets a timer."""
-        self.settings, self.headers, self.new_conn, self.at = settings, headers, new_conn, at
+        super().__init__(new_conn, at)
+        self.settings, self.headers = settings, headers
         self.nodes: dict[str, Node] = {}
         self.links: dict[int, Link] = {}
         self.where: dict[int, Link] = {}  # attempts not ended, by identity
-        self.out: list[c.Order] = []
-        self.ended: list[c.Ended | c.ProbeEnded] = []
-        self.counts: Counter[str] = Counter()
-        self.now = 0.0
 
     # --- what the engine wants -------------------------------------------------------------------
 
@@ -121,15 +118,6 @@
         if link.state is OPEN and link.writable:
             self._hand_over(link)
 
-    def cancel(self, now: float, attempt: c.Attempt) -> None:
-        """Stop waiting for an attempt. The node is told; whether it stops is its own affair."""
-        self.now = now
-        self._give_up(attempt, i.Result.CANCELLED)
-
-    def expire(self, now: float, attempt: c.Attempt) -> None:
-        self.now = now
-        self._give_up(attempt, i.Result.TIMEOUT)
-
     def probe(self, now: float, server: str) -> None:
         self.now = now
         node = self._node(server)
--- a/rushweir/rules.py
+++ b/rushweir/rules.py
@@ -451,7 +451,8 @@
         left = self.retries >= 1 and len(t.sends) < self.s.limits.max_attempts
         return left and ends < min(t.aim_at, t.r.not_after_ms)
 
-    def ask(self, t: st.Ticket) -> list[i.Action]:
+    def ask(self, t: st.Ticket, order: list[int] | None = None) -> list[i.Action]:
+        """``order``: the parts it may draw from, where that was looked at just now."""
         c, units, now = t.c, t.r.units, self.now
         own = int(c.plan.open_limit / c.doors + 0.5)
         if own and not c.plan.rate:
@@ -459,13 +460,13 @@
             # as the attempt is out, and for a second if that word is lost. Where each door has a place of its own
             # to give it needs no word. Ends where doors outnumber places by two. Harm: a customer that asks
             # through all doors at once gets up to half a place more for each of them.
-            return self.decide(t, c.open < own)
+            return self.decide(t, c.open < own, order)
         t.keeper = self.quota.keeper(c, t.asks, now)
         t.asks += 1
         if t.keeper == self.s.me:
-            return self.decide(t, self.quota.keep(c.hash, c.plan, units, now, (self.s.me, t.number)))
+            return self.decide(t, self.quota.keep(c.hash, c.plan, units, now, (self.s.me, t.number)), order)
         if t.keeper is None or now + ASK_MS * len(ASKS) > t.r.not_after_ms:
-            return self.decide(t, self.quota.even(t, now))
+            return self.decide(t, self.quota.even(t, now), order)
         if t.keeper == COUNTER:  # needs no timer: a call always ends by itself
             return [self.quota.call(c, units, t, now)]
         self.quota.ask(t)
@@ -476,7 +477,7 @@
         self.checks[self.serial] = (t.r.id, n, more_ms)
         return i.SetTimer(self.serial, after_ms)
 
-    def decide(self, t: st.Ticket, inside: bool | None) -> list[i.Action]:
+    def decide(self, t: st.Ticket, inside: bool | None, order: list[int] | None = None) -> list[i.Action]:
         if inside is None:  # the counter is late or full
             return self.ask(t)
         r, c, server = t.r, t.c, None
@@ -485,8 +486,9 @@
             server = self.fleet.choose(self.now, lambda e: True, set())
         # Only now is room drawn: what waits for a keeper's word is in no server's work, and took most of B when
         # words came late. What was let in to ask and finds B full by now is refused, its units given back.
-        order = self.room.fits(r.cls, r.units, t.keep, self.now) if server is not None else None
-        if order is not None and c.ceiling >= r.units:
+        if server is not None and order is None:
+            order = self.room.fits(r.cls, r.units, t.keep, self.now)
+        if server is not None and order is not None and c.ceiling >= r.units:
             t.inside, t.grant = inside, self.room.parts.draw(order, r.units)
             c.ceiling -= r.units
             return self.send(t, server)
@@ -516,11 +518,11 @@
             why = "ceiling" if c.ceiling < r.units else "quota"
             return [self.refuse(r, why, self.quota.wait(c, r.units))]
         keep = self.room.keep(r.cls, c.plan.price)
-        if self.room.fits(r.cls, r.units, keep, now) is None:
+        if (order := self.room.fits(r.cls, r.units, keep, now)) is None:
             return [self.refuse(r, "room", self.room.wait(r.cls, r.units))]
         self.serial += 1
         t = self.tickets[r.id] = st.Ticket(r, cls, c, keep, now + cls.aim_ms, self.serial % 65536)
-        return self.ask(t)
+        return self.ask(t, order)
 
     def send(self, t: st.Ticket, b: st.Backend) -> list[i.Action]:
         self.fleet.sent.add(1, self.now)
--- a/tests/edge/test_backends.py
+++ b/tests/edge/test_backends.py
@@ -189,3 +189,15 @@
     edge.say(up, answer(b"", more="Srv-Load: util=0.5\r\n"))
     edge.pass_ms(400.0)
     assert told == [i.Result.OK]
+
+
+def test_the_trace_tells_what_came_since_its_last_line(edge):
+    from rushweir.edge.trace import Trace
+
+    trace = Trace(edge.core)
+    conn, up = edge.sent()
+    first = trace.line(edge.now)
+    edge.say(up, answer())
+    second = trace.line(edge.now)
+    assert first["since"]["requests"] == first["since"]["pool_dials"] == 1 and first["owed"] == first["links"] == 1
+    assert second["since"] == {"attempt_ok": 1, "served": 1} and second["owed"] == 0
