The decisions stand in rushweir/policy/, the core in parts by what it joins

Change: policy/ has a file each for quota, room, servers and the gateway that asks them; no line of a decision is altered. The core keeps time, orders and the end of an ingress; clients.py has their connections, listed.py the list, setup.py what an ingress is made of.

Also: a test that read a connection closed with unread input met a reset now and then; both ends of it are an end.

--- a/rushweir/__init__.py
+++ b/rushweir/__init__.py
@@ -1,5 +1,5 @@
 """rushweir: the decisions of a gateway that keeps each customer of a shared back end to its plan."""
 
-from rushweir.rules import Policy
+from rushweir.policy import Policy
 
 __all__ = ["Policy"]
--- a/rushweir/daemon/metrics.py
+++ b/rushweir/daemon/metrics.py
@@ -54,7 +54,7 @@
         yield parts
         nodes = GaugeMetricFamily("rushweir_nodes", "Nodes by zone and state.", labels=["zone", "state"])
         found: dict[tuple[str, str], int] = {}
-        for s in core.held.values():
+        for s in core.nodes.held.values():
             found[s.zone, s.state.value] = found.get((s.zone, s.state.value), 0) + 1
         for where, n in found.items():
             nodes.add_metric(where, n)
--- a/rushweir/daemon/operations.py
+++ b/rushweir/daemon/operations.py
@@ -17,7 +17,7 @@
 from rushweir.watch.usage import MOST_PAGE
 
 MADE_MS = 900.0  # rows of nodes are used again for so long, unless the list changed
-GROUNDS = ("itself", "its zone", "its kind")  # whose failures set a node aside, as rules.py looks at them
+GROUNDS = ("itself", "its zone", "its kind")  # whose failures set a node aside, as the policy looks at them
 
 
 def _whole(name: str, value: Any, least: int, most: int) -> int:
@@ -54,10 +54,10 @@
         """How the ingress stands, in short."""
         core, now = self.core, self.clock()
         code, page = core.health()
-        age = None if core.listed_at is None else round(now - core.listed_at)
+        age = None if core.nodes.listed_at is None else round(now - core.nodes.listed_at)
         return {
             **self.facts, **page, "serving": code == 200, "now_ms": now, "list_age_ms": age,
-            "nodes": len(core.held), "by_hand": sorted(core.by_hand), "overload": core.overload.level,
+            "nodes": len(core.nodes.held), "by_hand": sorted(core.nodes.by_hand), "overload": core.overload.level,
             "loop_delay_ms": round(core.overload.delay_ms, 1), "reloaded_ms": self.reloaded_at,
             "answers": {k: core.engine.counts[k] for k in ("served", "refused", "failed", "left")},
             "faults": core.engine.faults, "attempts_out": len(core.pool.where),
@@ -82,15 +82,15 @@
     def _nodes(self) -> list[dict[str, Any]]:
         """A row for each node. Of 500 they take some milliseconds, so what was made a moment ago is used again."""
         now = self.clock()
-        if self.made is None or now - self.made[0] > MADE_MS or self.made[1] is not self.core.held:
-            self.made = now, self.core.held, list(self._make_nodes(now))
+        if self.made is None or now - self.made[0] > MADE_MS or self.made[1] is not self.core.nodes.held:
+            self.made = now, self.core.nodes.held, list(self._make_nodes(now))
         return self.made[2]
 
     def _make_nodes(self, now: float) -> Iterator[dict[str, Any]]:
         core = self.core
         fleet = getattr(core.engine.policy, "fleet", None)
         bar = fleet.bar(0.4, now) if fleet is not None else 1.0
-        for address, s in core.held.items():
+        for address, s in core.nodes.held.items():
             b = fleet.servers.get(address) if fleet is not None else None
             seen = core.watch.nodes[address]
             why = ""
@@ -98,7 +98,7 @@
                 why = next((g for h, g in zip(b.health, GROUNDS, strict=False) if h.fail(now) >= bar), "")
             yield {
                 "address": address, "zone": s.zone, "cell": s.cell, "kind": s.kind, "weight": s.weight,
-                "state": s.state.value, "by_hand": address in core.by_hand,
+                "state": s.state.value, "by_hand": address in core.nodes.by_hand,
                 "warmth": round(fleet.warmth(b, now), 3) if b is not None else None,
                 "out": len(b.out) if b is not None else 0,
                 "slowness": round(b.slow, 2) if b is not None else None,
@@ -151,7 +151,7 @@
     def _by_hand(self, address: str, on: bool) -> dict[str, Any]:
         if not self.core.drain(self.clock(), _text("address", address), on):
             raise OperatorError(f"no node {address[:80]} in the list")
-        return {"address": address, "state": self.core.held[address].state.value, "by_hand": on}
+        return {"address": address, "state": self.core.nodes.held[address].state.value, "by_hand": on}
 
     # --- partners --------------------------------------------------------------------------------
 
--- a/rushweir/daemon/service.py
+++ b/rushweir/daemon/service.py
@@ -31,7 +31,7 @@
 from rushweir.logs.decisions import Limiter
 from rushweir.logs.log import Log
 from rushweir.logs.sink import Sink
-from rushweir.rules import Policy
+from rushweir.policy import Policy
 
 SWITCH_S, RELOAD_SWITCH_S = sys.getswitchinterval(), 0.0005
 TELL_EVERY_S = 5.0  # how often lines left out of the log are looked for
--- a/rushweir/edge/__main__.py
+++ b/rushweir/edge/__main__.py
@@ -18,7 +18,7 @@
 from rushweir.ingress.core import Core
 from rushweir.ingress.shell import Clock, Shell, calm_collector
 from rushweir.logs.decisions import Limiter
-from rushweir.rules import Policy
+from rushweir.policy import Policy
 
 LINES_PER_S, LINES_AT_ONCE = 2.0, 20  # of each cause
 LAST_S = 0.7  # after SIGTERM clients may still come for so long
@@ -71,7 +71,7 @@
         await shell.serve(*config.listen, config.peer_listen, listening=listening)
         calm_collector()
         core.tell(self.clock(), "info", "started", name=config.name, listen=config.listen, sockets=config.sockets,
-                  memory_mb=config.memory_mb, cores=config.cores, backends=len(core.held))  # fmt: skip
+                  memory_mb=config.memory_mb, cores=config.cores, backends=len(core.nodes.held))  # fmt: skip
         shell.carry_out()
         if os.environ.get("EDGE_TRACE"):
             self.trace(Trace(core))
--- a/rushweir/edge/trace.py
+++ b/rushweir/edge/trace.py
@@ -11,7 +11,7 @@
 from typing import Any
 
 from rushweir.ingress.core import Core
-from rushweir.rules import Policy
+from rushweir.policy import Policy
 
 PARTS = {"engine": "", "refusals": "no_", "pool": "pool_", "core": "core_", "peers": "peers_"}  # and their prefixes
 
--- a/rushweir/ingress/shell.py
+++ b/rushweir/ingress/shell.py
@@ -138,7 +138,7 @@
         self.core.leave(self.clock(), settings)
         self.carry_out()
         end = self.loop.time() + within_ms / 1000
-        while self.core.clients and self.loop.time() < end:
+        while self.core.clients.open and self.loop.time() < end:
             await asyncio.sleep(0.01)
         return await self.stop(max(0.0, end - self.loop.time()) * 1000)
 
--- a/rushweir/ingress/websocket.py
+++ b/rushweir/ingress/websocket.py
@@ -43,7 +43,7 @@
         """Connections stay, those of a partner that is gone until their open requests are answered."""
         core.pool.settings = self.pool
         partners = {p.name: p for p in self.credentials.by_digest.values()}
-        for client in list(core.clients.values()):
+        for client in list(core.clients.open.values()):
             front = client.front
             front.settings = self.front
             if front.partner is not None:
@@ -53,7 +53,7 @@
                 else:
                     core.counts["partners_gone"] += 1
                     front.refuse_new("partner_gone")
-                    core.leave_if_idle(client)
+                    core.clients.leave_if_idle(client)
 
     def partners(self) -> list[tuple[str, str]]:
         return [(p.name, p.plan) for p in self.credentials.by_digest.values()]
--- a/rushweir/lab/bench.py
+++ b/rushweir/lab/bench.py
@@ -272,7 +272,7 @@
 def module_us(nodes: int, requests: int = 20_000) -> float:
     """CPU of the decisions alone for a request with its outcome, in this process."""
     from rushweir import interface as i
-    from rushweir.rules import Policy
+    from rushweir.policy import Policy
 
     cls = i.RequestClass("position", 800.0, 3000.0, effect=i.Effect.SAFE)
     settings = i.Settings(0, 1, "a", (cls,), (i.Plan("wide", 1e6, 1e6),), limits=i.Limits(4, cancel=True))
--- /dev/null
+++ b/rushweir/policy/quota.py
@@ -0,0 +1,221 @@
+"""Each customer's units: who holds its store, who is asked, and what decides where nobody answers."""
+
+import math
+import random
+from struct import Struct
+from zlib import crc32
+
+from rushweir import interface as i
+from rushweir import state as st
+from rushweir.policy.times import MEMORY_MS, SILENT_MS
+
+ASKS = (0, 0, 1)  # who is asked in turn
+MAIL_BURST, MAIL_MOST = 15.0, 15  # messages at once, a quarter second's worth; entries that 256 bytes hold
+CALL_MS, PACED = (2.0, 2000.0), (0.95, 1.5)  # between calls of all gateways, and of one; after good and bad
+SURPLUS = 1.5  # times the burst: a total this far behind a full store is put right
+KEEN, LOW_PART = 1.2, 0.5  # times the share of tries granted: so many still ask, while the store is so low
+KEPT_PART = 1 / 3  # of a ceiling is its keeper's; the doors' even parts must do when nobody hears anybody
+EPOCH_MS, IDLE_MS = 60000.0, 30000.0  # life of a counter name (bounds drift), of customers idle
+ENTRY = Struct(">BBIfBH")  # kind, plan, customer, units or level, over (keep, settle) or share granted, number
+ASK, DONE, YES, NO, COUNTER = 0, 1, 2, 3, -1
+
+
+class Quota:
+    """Token buckets by demand share. A customer's whole store lies with one keeper: a gateway among its
+    doors, by rendezvous hashing, or the shared counter. A door holds a request for its bounded answer, unless
+    a fresh word shows that asking is in vain; where no answer comes its even part decides."""
+
+    def __init__(self, settings: i.Settings, rng: random.Random, now: float) -> None:
+        self.rng, self.began = rng, now
+        self.customers, self.kept = dict[int, st.Customer](), dict[int, st.Store]()
+        self.mail = st.Outbox(ENTRY, settings.sharing.messages_per_s, MAIL_BURST, MAIL_MOST, now)
+        self.held, self.owing = dict[int, st.Ticket](), dict[int, st.Customer]()
+        self.calls: dict[int, list[tuple]] = {}
+        self.pace, self.next_call, self.swept = CALL_MS[0] * settings.gateways, now, now
+        self.adopt(settings, now)
+
+    def adopt(self, settings: i.Settings, now: float) -> None:
+        """Other plans. A customer whose plan is gone keeps it until idle: its ceiling must not be forgotten."""
+        self.s, self.how = settings, settings.sharing
+        self.mail.per_ms = self.how.messages_per_s / 1000
+        self.plans = {p.name: (k, p) for k, p in enumerate(settings.plans)}
+        for c in self.customers.values():
+            self.move(c, c.plan.name, now)
+
+    def move(self, c: st.Customer, plan: str, now: float) -> None:
+        """To another plan, or to other quotas of the same. Of a ceiling that is new nothing is there yet."""
+        if plan in self.plans and self.plans[plan] != (c.index, c.plan):
+            self.refill(c, now)
+            had, (c.index, c.plan) = c.plan.ceiling_rate, self.plans[plan]
+            c.ceiling = (c.ceiling if had else 0.0) if c.plan.ceiling_rate else math.inf
+            c.ceiling_at = now
+            self.refill(c, now)
+
+    def refill(self, c: st.Customer, now: float) -> None:
+        c.store.refill(c.plan.rate, c.plan.burst, now)
+        if c.plan.ceiling_rate:
+            own, ms = (1 - self.part(c.plan)) / c.doors, now - c.ceiling_at
+            c.ceiling = st.filled(c.ceiling, c.plan.ceiling_rate * own, c.plan.ceiling_burst * own, ms)
+            c.ceiling_at = now
+
+    def part(self, plan: i.Plan) -> float:
+        """Of a ceiling the first keeper has a part, for doors whose even part of the rest is spent: busy ones of many
+        were shut well inside the quota. Harm: with nothing heard the doors have the rest alone."""
+        return KEPT_PART if plan.ceiling_rate and self.how.peers and not self.how.counter else 0.0
+
+    def pay(self, t: st.Ticket) -> bool:
+        """Take the units from the own part of the ceiling, if it has them."""
+        if not t.own and t.c.ceiling >= t.r.units:
+            t.own, t.c.ceiling = True, t.c.ceiling - t.r.units
+        return t.own
+
+    def paid(self, t: st.Ticket) -> bool:
+        """Whether the keeper that let it in paid for it: only the first has a part."""
+        return not t.own and t.keeper is not None and t.keeper == t.c.ranks[0] and self.part(t.c.plan) > 0
+
+    def customer(self, r: i.Request, now: float) -> st.Customer | None:
+        key = crc32(r.customer.encode())
+        c = self.customers.get(key)
+        if c is None:
+            if r.plan not in self.plans:
+                return None
+            (index, plan), count = self.plans[r.plan], self.s.gateways
+            doors = {(r.first + k) % count for k in range(min(r.spread, count))}
+            ranks = st.rendezvous(key, doors, 1 + max(ASKS))
+            # Of a ceiling only the own part is spent; what a predecessor left of it is unknown.
+            store = st.Store(plan.burst, MEMORY_MS, now)
+            c = self.customers[key] = st.Customer(plan, index, key, len(doors), ranks, store, self.began)
+        elif c.plan.name != r.plan:
+            self.move(c, r.plan, now)
+        c.seen = now
+        self.refill(c, now)
+        return c
+
+    def keeper(self, c: st.Customer, asks: int, now: float) -> int | None:
+        if self.how.counter and c.ranks != [self.s.me]:
+            return COUNTER if c.plan.rate and not asks and now >= self.next_call else None
+        if asks >= len(ASKS) or not (self.how.peers or c.ranks == [self.s.me]):
+            return None
+        return c.ranks[min(ASKS[asks], len(c.ranks) - 1)]
+
+    def vain(self, c: st.Customer, units: float, now: float) -> bool:
+        """Whether by a fresh word the store has too little; or so little, by one not too old, that only a share asks:
+        all doors draw on it, and where words were lost for too much mail all asked again and lost more."""
+        age = now - c.told
+        sieved = c.word < LOW_PART * c.plan.burst and age < MEMORY_MS and self.rng.random() > KEEN * c.share
+        return c.plan.rate > 0 and (sieved or (age < SILENT_MS and c.store.level < units))
+
+    def even(self, t: st.Ticket, now: float) -> bool:
+        c, units, fresh = t.c, t.r.units, now - t.c.told < SILENT_MS
+        inside = c.store.level >= units * fresh and c.store.level > 0 if c.plan.rate else not c.open
+        t.keeper = COUNTER if inside and fresh and self.how.counter else None
+        if t.keeper == COUNTER:
+            self.owe(c, units)
+        c.store.level -= units * inside * (1 if fresh else c.doors)
+        return inside
+
+    def keep(self, key: int, plan: i.Plan, units: float, now: float, who: tuple[int, int], over=0) -> bool:
+        """A place is known by gateway and number: by order alone, each end whose word was lost cost the
+        customer a place for as long as it kept asking (h499d24). A question asked again takes nothing. ``over``:
+        1 if the door has nothing left of the ceiling, and 2 for each unit it refused on a word since it last asked:
+        by questions alone the share told grew as doors asked less, and mail of busy customers was dropped."""
+        if (store := self.kept.get(key)) is None:
+            store = self.kept[key] = st.Store(plan.burst, MEMORY_MS, now)
+            store.ceiling_at = self.began  # of the ceiling a predecessor may have spent all
+        store.refill(plan.rate, plan.burst, now)
+        store.fill_ceiling(plan, self.part(plan), now)
+        taken = store.open(now - SILENT_MS)
+        if who in store.out:
+            return True
+        store.demand.add(units + over // 2, now)
+        full = 0 < plan.open_limit <= taken
+        inside = not full and (not plan.rate or store.level >= units) and (not over % 2 or store.ceiling >= units)
+        if inside:
+            store.level -= units
+            store.ceiling -= units * (over % 2)
+            store.out[who] = now
+        return inside
+
+    def wait(self, c: st.Customer, units: float, own: bool = False) -> float:
+        """Advice, where the keeper's store or the own part of the ceiling lacks so much."""
+        store, p, part = self.kept.get(c.hash, c.store), c.plan, self.part(c.plan)
+        quota = max(0.0, units - store.level) * 1000 / (p.rate * c.share + 1e-9) * (p.rate > 0)
+        # The own part of a ceiling fills by itself; no advice at all would bring the try back at once, in vain.
+        lacks = max(0.0, units - c.ceiling) * c.doors * (own or not part)
+        return max(quota, lacks * 1000 / (p.ceiling_rate * (1 - part)) if lacks else 0.0)
+
+    def settle(self, t: st.Ticket, more: float, over: bool) -> None:
+        c = t.c
+        if t.keeper == self.s.me and c.hash in self.kept:
+            self.kept[c.hash].settle(more, (self.s.me, t.number) if over else None, c.plan.burst, not t.own)
+        elif t.keeper == COUNTER:
+            self.owe(c, more)
+        elif t.keeper is not None and (more or (over and c.plan.open_limit)):
+            end = (DONE, c.index, c.hash, more, over * (1 if t.own else 2), t.number)
+            self.mail.post(t.keeper, end, again=over and c.plan.open_limit > 0)
+
+    def owe(self, c: st.Customer, units: float) -> None:
+        if units:
+            c.pending += units
+            self.owing[c.hash] = c
+
+    def ask(self, t: st.Ticket) -> None:
+        self.held[t.number] = t
+        self.mail.post(t.keeper, (ASK, t.c.index, t.c.hash, t.r.units, t.c.over(t.own), t.number))
+
+    def call(self, c: st.Customer, units: float, t: st.Ticket | None, now: float) -> i.Count:
+        epoch = now // EPOCH_MS
+        name = c.hash * 65536 + int(epoch) % 65536
+        amount, c.pending = units + c.pending, 0.0
+        self.next_call = now + self.pace
+        self.calls.setdefault(name, []).append((c, units, t, epoch * EPOCH_MS))
+        return i.Count(name, amount, EPOCH_MS)
+
+    def counted(self, e: i.Counted, now: float) -> list[tuple[st.Ticket, bool | None]]:
+        if not self.calls.get(e.name):
+            return []
+        c, units, ticket, began = self.calls[e.name].pop(0)
+        held, plan, good = [] if ticket is None else [ticket], c.plan, e.result is i.Result.OK
+        self.pace = min(max(self.pace * PACED[0 if good else 1], CALL_MS[0]), CALL_MS[1])
+        if not good:
+            return [(t, None) for t in held]
+        level = plan.burst + plan.rate * (now - began) / 1000 - (e.value - units)
+        if level > SURPLUS * plan.burst:  # overflowed by more than is worth a call
+            self.owe(c, level - plan.burst)
+        inside = min(level, plan.burst) >= units
+        c.learn(min(level, plan.burst) - units * inside, 1.0, now)
+        self.owe(c, units * inside - units)
+        return [(t, inside) for t in held]
+
+    def hear(self, e: i.PeerMessage | i.Counted, now: float) -> list[tuple[st.Ticket, bool | None]]:
+        """The held requests that are answered; what is asked of this keeper is answered by mail."""
+        if isinstance(e, i.Counted):
+            return self.counted(e, now)
+        answered = []
+        for kind, index, key, units, over, number in st.unpack(ENTRY, e.text):
+            c, plan = self.customers.get(key), self.s.plans[min(index, len(self.s.plans) - 1)]
+            if kind == ASK:
+                told = YES if self.keep(key, plan, units, now, (e.source, number), over) else NO
+                store, share = self.kept[key], plan.rate / (self.kept[key].demand.per_s(now) + 1e-9)
+                self.mail.post(e.source, (told, index, key, store.level, int(min(share, 1) * 255), number))
+            elif kind == DONE and key in self.kept:
+                self.kept[key].settle(units, (e.source, number) if over else None, plan.burst, over == 2)
+            elif kind in (YES, NO) and c is not None:
+                c.learn(min(units, c.plan.burst), over / 255, now)
+                if (t := self.held.pop(number, None)) is not None:
+                    t.keeper = e.source
+                    answered.append((t, kind == YES))
+        return answered
+
+    def tick(self, now: float) -> list[i.Action]:
+        calls: list[i.Action] = []
+        self.mail.repeat()  # ends: of seven words one was lost on a fleet, and its place lay idle for a second
+        while self.owing and now >= self.next_call:
+            calls.append(self.call(self.owing.popitem()[1], 0.0, None, now))
+        if now - self.swept >= IDLE_MS / 10:
+            self.swept = now
+            self.customers = {n: c for n, c in self.customers.items() if now - c.seen < IDLE_MS or c.open}
+            self.kept = {k: s for k, s in self.kept.items() if now - s.at < IDLE_MS}
+            self.calls = {n: calls for n, calls in self.calls.items() if calls}
+            self.held = {k: t for k, t in self.held.items() if now < t.r.not_after_ms}
+        return calls
--- a/rushweir/wirehost.py
+++ b/rushweir/wirehost.py
@@ -10,7 +10,7 @@
 
 from rushweir import interface as i
 from rushweir.options import Fields, settings
-from rushweir.rules import Policy
+from rushweir.policy import Policy
 
 RESULTS = {
     "GOOD": i.Result.OK,
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -7,7 +7,7 @@
 import pytest
 
 from rushweir import interface as i
-from rushweir.rules import Policy
+from rushweir.policy import Policy
 
 CLASSES = (
     i.RequestClass("look", 800.0, 3000.0, effect=i.Effect.SAFE),
--- a/tests/daemon/test_daemon.py
+++ b/tests/daemon/test_daemon.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import fcntl
 import json
 import os
@@ -148,7 +149,8 @@
             assert expected in json.loads(await reader.readline())["error"]["message"], line
         writer.write(b"x" * 100_000)
         assert "more than" in json.loads(await reader.readline())["error"]["message"]
-        assert await reader.read() == b""
+        with contextlib.suppress(ConnectionResetError):  # closed with some of the line unread
+            assert await reader.read() == b""
         writer.close()
         many = [socket.socket(socket.AF_UNIX) for _ in range(40)]
         for s in many:
--- a/tests/edge/conftest.py
+++ b/tests/edge/conftest.py
@@ -11,7 +11,7 @@
 from rushweir.edge.setup import IDLE_MS, Setup
 from rushweir.ingress import commands as c
 from rushweir.ingress.core import Core
-from rushweir.rules import Policy
+from rushweir.policy import Policy
 
 CLASSES = (
     i.RequestClass("position", 800.0, 3000.0, effect=i.Effect.SAFE),
--- a/tests/test_many_doors.py
+++ b/tests/test_many_doors.py
@@ -9,7 +9,7 @@
 
 from rushweir import interface as i
 from rushweir import state as st
-from rushweir.rules import DONE, ENTRY, YES
+from rushweir.policy.quota import DONE, ENTRY, YES
 
 SOURCES = {"peers": i.Sharing(peers=True, messages_per_s=60.0), "counter": i.Sharing(counter=True)}
 
