--- a/rushweir/cli/main.py
+++ b/rushweir/cli/main.py
@@ -10,6 +10,7 @@
 import orjson
 
 from rushweir.cli import operators
+from rushweir.cli.changes import tell_changes
 
 
 @click.group(context_settings={"help_option_names": ["-h", "--help"]})
@@ -127,14 +128,6 @@
     sys.exit(bool(changes))
 
 
-def tell_changes(changes: list[dict]) -> None:
-    for c in changes:
-        name = " ".join(c["path"])
-        for sign, words in (("-", c["before"]), ("+", c["after"])):
-            if words is not None:
-                click.echo(f"{sign} {name} {' '.join(words)}" + (f"    # {c['origin']}" if sign == "+" else ""))
-
-
 @main.group()
 def costs() -> None:
     """What requests cost."""
--- a/rushweir/cli/operators.py
+++ b/rushweir/cli/operators.py
@@ -17,6 +17,7 @@
 from rich.text import Text
 
 from rushweir.cli.ask import Daemon, NoDaemon, Refused
+from rushweir.cli.changes import tell_changes
 from rushweir.link.text import printable
 
 Row = dict[str, Any]
@@ -133,6 +134,10 @@
         ("own load", f"turns come {s['loop_delay_ms']} ms late: {level}"),
         ("faults", str(s["faults"])),
     ]
+    if (fleet := s.get("fleet")) is not None:
+        alive = sum(m["state"] in ("alive", "suspect") for m in fleet["members"])
+        sure = "in force" if fleet["current"] else "NOT surely in force"
+        rows.append(("fleet", f"{alive} members, view {fleet['view']} {sure}" + ", in the chair" * fleet["chair"]))
     made = Table(box=None, show_header=False, pad_edge=False)
     for name, text in rows:
         made.add_row(name, Text(plain(text)))
@@ -248,8 +253,6 @@
 @asks
 def reload(daemon: Daemon, as_json: bool) -> None:
     """Read the settings again and apply them, whole or not at all. Exit code 2 where they are not taken."""
-    from rushweir.cli.main import tell_changes
-
     found = daemon.ask("reload")
     if as_json:
         out_json(found)
--- a/rushweir/cli/serve.py
+++ b/rushweir/cli/serve.py
@@ -12,6 +12,7 @@
 from rushweir.daemon.handover import HandoverError, take_over
 from rushweir.daemon.lock import Held
 from rushweir.daemon.service import Service, make_log
+from rushweir.fleet.seating import KeptError
 
 
 def serve(path: Path, config: Config, form: str, take: bool) -> int:
@@ -31,7 +32,7 @@
     async def run() -> int:
         try:
             service = Service(path, config, log, inherited)
-        except (Held, OSError) as problem:
+        except (Held, KeptError, OSError) as problem:
             click.echo(str(problem), err=True)
             return 1
         return await service.run(lambda line: print(line, flush=True))
--- /dev/null
+++ b/rushweir/config/checks.py
@@ -0,0 +1,107 @@
+"""What one part of the settings must not say of another, and the files of secrets that they name."""
+
+from __future__ import annotations
+
+import os
+import stat
+from pathlib import Path
+
+from rushweir.config import models as m
+from rushweir.config.text import Problem, Spot
+from rushweir.console.sessions import read_users
+from rushweir.costs.routes import RouteError, Routes
+
+
+def across(f: m.File, spots: dict[tuple, Spot]) -> list[Problem]:
+    """What one block must not say of another."""
+    out, (me, count) = [], f.ingress
+    if me >= count:
+        out.append(Problem(spots[("ingress",)], f"ingress: number {me} of {count}: numbers begin at 0"))
+    if not f.classes or not f.plans:
+        out.append(Problem(spots.get(("classes",), Spot("", 1, 1)), "a class and a plan are needed"))
+    digests: dict[str, str] = {}
+    for name, p in f.partners.items():
+        path = ("partners", name)
+        if p.plan not in f.plans:
+            known = ", ".join(f.plans)
+            out.append(Problem(spots[(*path, "plan")], f"partner {name}: no plan {p.plan!r}; known are {known}"))
+        if p.through[0] >= count or p.through[1] > count:
+            out.append(Problem(spots[(*path, "through")], f"partner {name}: through: {count} ingresses there are"))
+        if (other := digests.setdefault(p.credential, name)) != name:
+            out.append(
+                Problem(spots[(*path, "credential")], f"partner {name}: the credential is that of {other}")
+            )
+    for block, networks in (("clients", f.clients), ("nodes", f.nodes)):
+        if both := set(networks.allow) & set(networks.deny):
+            worst = min(both, key=str)
+            spot = spots[(block, "deny", networks.deny.index(worst))]
+            out.append(Problem(spot, f"{block}: {worst} is both allowed and denied"))
+    if f.fleet is not None:
+        out += fleet(f, spots)
+    elif me < 0:
+        out.append(Problem(spots[("ingress",)], "ingress: auto needs a fleet block, which gives the number"))
+    if f.console is not None and f.control is None:
+        out.append(Problem(spots[("console",)], "console: needs a control socket, control { socket ... }"))
+    routes: Routes[str] = Routes()
+    for route in f.costs:
+        try:
+            routes.add(route, route)
+        except RouteError as problem:
+            out.append(Problem(spots[("costs", route)], f"cost: {problem}"))
+    for k, (number, _) in enumerate(f.peers.peer if f.peers else ()):
+        if number >= count or number == me:
+            out.append(Problem(spots[("peers", "peer", k)], f"peer {number}: no such peer of ingress {me}"))
+    return out
+
+
+def fleet(f: m.File, spots: dict[tuple, Spot]) -> list[Problem]:
+    spot = spots[("fleet",)]
+    if f.peers is None:
+        return [Problem(spot, "fleet: needs peers, for its socket and its key")]
+    out, seeds = [], [a for (a,) in f.fleet.seed]
+    if len(set(seeds)) < len(seeds):
+        out.append(Problem(spot, "fleet: a seed stands twice"))
+    advertise = f.fleet.advertise or f.peers.bind
+    if not advertise[1]:
+        out.append(Problem(spot, "fleet: advertise: needed where peers bind to any port"))
+    if advertise in seeds and not f.state:
+        out.append(Problem(spot, "fleet: a seed needs a state folder: without what it voted for it must not vote"))
+    return out
+
+
+def users(console: m.ConsoleBlock, base: Path, spots: dict, problems: list[Problem]) -> None:
+    """The console's users: a file that nobody else may read, each line in its form."""
+    spot, path = spots[("console", "users_file")], base / console.users_file
+    data = _secret(path, "users-file", spot, problems)
+    if data is not None:
+        try:
+            if not read_users(data.decode()):
+                problems.append(Problem(spot, f"users-file: {path} names nobody; rushweir console-user adds one"))
+        except ValueError as problem:
+            problems.append(Problem(spot, f"users-file: {path}: {problem}"))
+
+
+def key(peers: m.PeersBlock, base: Path, spots: dict, problems: list[Problem]) -> bytes | None:
+    """A secret from its file, which nobody else may read."""
+    spot = spots[("peers", "key_file")]
+    key = _secret(base / peers.key_file, "key-file", spot, problems)
+    if key is not None and len(key.strip()) < 16:
+        problems.append(Problem(spot, "key-file: 16 bytes at least"))
+        return None
+    return key.strip() if key is not None else None
+
+
+MOST_SECRET = 1_048_576
+
+
+def _secret(path: Path, name: str, spot: Spot, problems: list[Problem]) -> bytes | None:
+    try:
+        with open(path, "rb") as file:
+            mode = os.fstat(file.fileno()).st_mode
+            if mode & (stat.S_IRWXG | stat.S_IRWXO):
+                problems.append(Problem(spot, f"{name}: {path} can be read by others; chmod 600 is needed"))
+                return None
+            return file.read(MOST_SECRET)
+    except OSError as problem:
+        problems.append(Problem(spot, f"{name}: {problem}"))
+        return None
--- a/rushweir/config/load.py
+++ b/rushweir/config/load.py
@@ -2,9 +2,7 @@
 
 from __future__ import annotations
 
-import os
 import re
-import stat
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 from glob import has_magic
@@ -15,14 +13,14 @@
 from pydantic import BaseModel, BeforeValidator, ValidationError
 
 from rushweir import interface as i
+from rushweir.config import checks
 from rushweir.config import models as m
 from rushweir.config.text import ConfigError, Directive, Problem, Spot, parse
 from rushweir.config.values import words
-from rushweir.console.sessions import read_users
 from rushweir.costs import amounts
 from rushweir.costs.decisions import CostRules, Counts, Rule, Term
 from rushweir.costs.decisions import field as field_of
-from rushweir.costs.routes import RouteError, Routes
+from rushweir.fleet.settings import FleetSettings
 from rushweir.fronts.credentials import Credentials
 from rushweir.fronts.websocket import FrontSettings
 from rushweir.ingress.engine import Partner
@@ -52,6 +50,7 @@
     peer_key: bytes | None = None
     spots: dict[tuple, Spot] = field(default_factory=dict, repr=False)  # where each setting was read
     files: tuple[Path, ...] = ()  # the file, and what it includes
+    seat: int = -1  # the number that the fleet gave, where the settings leave that to it
 
     def effective(self) -> Iterator[Setting]:
         """Every setting that holds, defaults too, in the order of the models."""
@@ -65,11 +64,26 @@
     def state(self) -> Path | None:
         return self.base / self.file.state if self.file.state else None
 
+    @property
+    def me(self) -> int:
+        """The number of this ingress; -1: not known yet."""
+        return self.seat if self.file.ingress[0] < 0 else self.file.ingress[0]
+
+    def fleet(self) -> FleetSettings | None:
+        """How this process is a member of its fleet; None: it is in none."""
+        f = self.file
+        if f.fleet is None or f.peers is None:
+            return None
+        return FleetSettings(
+            f.fleet.advertise or f.peers.bind, tuple(a for (a,) in f.fleet.seed), f.ingress[1], f.ingress[0], f.zone,
+            view_ms=f.fleet.term, keep_ms=f.fleet.keep, per_s=f.fleet.rate,
+        )  # fmt: skip
+
     def settings(self) -> i.Settings:
         """The settings of the policy."""
-        f, me, count = self.file, *self.file.ingress
+        f, count = self.file, self.file.ingress[1]
         return i.Settings(
-            me=me,
+            me=self.me,
             gateways=count,
             zone=f.zone,
             classes=tuple(
@@ -94,7 +108,7 @@
                 f.limits.probes, f.limits.retry_after > 0,
             ),
             sharing=i.Sharing(
-                peers=f.peers is not None, messages_per_s=f.peers.rate if f.peers else 0.0,
+                peers=f.peers is not None, messages_per_s=self._mail_per_s(),
                 counter=f.counter is not None, counter_timeout_ms=f.counter.timeout if f.counter else 0.0,
                 meter_ms=f.meter, largest_request=f.limits.largest_request, settles=f.settles,
             ),
@@ -103,6 +117,11 @@
             ask_discovery=f.list.mode == "ask",
         )  # fmt: skip
 
+    def _mail_per_s(self) -> float:
+        """Messages of the quotas: what peers take of one ingress, less what its fleet says."""
+        f = self.file
+        return 0.0 if f.peers is None else max(1.0, f.peers.rate - (f.fleet.rate if f.fleet else 0.0))
+
     def costs(self) -> CostRules | None:
         """The prices of requests; None where none are set, and each request says itself what it counts."""
         f = self.file
@@ -193,10 +212,10 @@
         for e in bad.errors():
             problems.append(_problem(e, spots, Spot(name, 1, 1), problems))
     if file is not None:
-        problems += _across(file, spots)
-    key = _key(file.peers, base, spots, problems) if file is not None and file.peers else None
+        problems += checks.across(file, spots)
+    key = checks.key(file.peers, base, spots, problems) if file is not None and file.peers else None
     if file is not None and file.console is not None:
-        _users(file.console, base, spots, problems)
+        checks.users(file.console, base, spots, problems)
     if problems or file is None:
         raise ConfigError(list(dict.fromkeys(p for p in problems if p.text)), reader.lines)
     return Config(file, base, key, spots, (Path(name), *reader.files))
@@ -389,79 +408,3 @@
         form = ": sha256: and 64 hex digits" if path[-1] == "credential" else ""
         text = "not of the form that is expected" + form
     return Problem(spot, f"{name}: {text}")
-
-
-def _across(f: m.File, spots: dict[tuple, Spot]) -> list[Problem]:
-    """What one block must not say of another."""
-    out, (me, count) = [], f.ingress
-    if me >= count:
-        out.append(Problem(spots[("ingress",)], f"ingress: number {me} of {count}: numbers begin at 0"))
-    if not f.classes or not f.plans:
-        out.append(Problem(spots.get(("classes",), Spot("", 1, 1)), "a class and a plan are needed"))
-    digests: dict[str, str] = {}
-    for name, p in f.partners.items():
-        path = ("partners", name)
-        if p.plan not in f.plans:
-            known = ", ".join(f.plans)
-            out.append(Problem(spots[(*path, "plan")], f"partner {name}: no plan {p.plan!r}; known are {known}"))
-        if p.through[0] >= count or p.through[1] > count:
-            out.append(Problem(spots[(*path, "through")], f"partner {name}: through: {count} ingresses there are"))
-        if (other := digests.setdefault(p.credential, name)) != name:
-            out.append(
-                Problem(spots[(*path, "credential")], f"partner {name}: the credential is that of {other}")
-            )
-    for block, networks in (("clients", f.clients), ("nodes", f.nodes)):
-        if both := set(networks.allow) & set(networks.deny):
-            worst = min(both, key=str)
-            spot = spots[(block, "deny", networks.deny.index(worst))]
-            out.append(Problem(spot, f"{block}: {worst} is both allowed and denied"))
-    if f.console is not None and f.control is None:
-        out.append(Problem(spots[("console",)], "console: needs a control socket, control { socket ... }"))
-    routes: Routes[str] = Routes()
-    for route in f.costs:
-        try:
-            routes.add(route, route)
-        except RouteError as problem:
-            out.append(Problem(spots[("costs", route)], f"cost: {problem}"))
-    for k, (number, _) in enumerate(f.peers.peer if f.peers else ()):
-        if number >= count or number == me:
-            out.append(Problem(spots[("peers", "peer", k)], f"peer {number}: no such peer of ingress {me}"))
-    return out
-
-
-def _users(console: m.ConsoleBlock, base: Path, spots: dict, problems: list[Problem]) -> None:
-    """The console's users: a file that nobody else may read, each line in its form."""
-    spot, path = spots[("console", "users_file")], base / console.users_file
-    data = _secret(path, "users-file", spot, problems)
-    if data is not None:
-        try:
-            if not read_users(data.decode()):
-                problems.append(Problem(spot, f"users-file: {path} names nobody; rushweir console-user adds one"))
-        except ValueError as problem:
-            problems.append(Problem(spot, f"users-file: {path}: {problem}"))
-
-
-def _key(peers: m.PeersBlock, base: Path, spots: dict, problems: list[Problem]) -> bytes | None:
-    """A secret from its file, which nobody else may read."""
-    spot = spots[("peers", "key_file")]
-    key = _secret(base / peers.key_file, "key-file", spot, problems)
-    if key is not None and len(key.strip()) < 16:
-        problems.append(Problem(spot, "key-file: 16 bytes at least"))
-        return None
-    return key.strip() if key is not None else None
-
-
-MOST_SECRET = 1_048_576
-
-
-def _secret(path: Path, name: str, spot: Spot, problems: list[Problem]) -> bytes | None:
-    try:
-        with open(path, "rb") as file:
-            mode = os.fstat(file.fileno()).st_mode
-            if mode & (stat.S_IRWXG | stat.S_IRWXO):
-                problems.append(Problem(spot, f"{name}: {path} can be read by others; chmod 600 is needed"))
-                return None
-            return file.read(MOST_SECRET)
-    except OSError as problem:
-        problems.append(Problem(spot, f"{name}: {problem}"))
-        return None
--- a/rushweir/config/models.py
+++ b/rushweir/config/models.py
@@ -14,6 +14,7 @@
     Duration,
     Net,
     Number,
+    OwnNumber,
     Rate,
     Size,
     Switch,
@@ -140,6 +141,22 @@
     peer: Annotated[tuple[tuple[Whole, Address], ...], Field(json_schema_extra=EACH_LINE)] = ()
 
 
+class FleetBlock(Block):
+    """``fleet``: members find each other, and agree who has which number."""
+
+    seed: Annotated[tuple[tuple[Address], ...], Field(json_schema_extra=EACH_LINE, min_length=1, max_length=7)]
+    advertise: Address | None = None  # where the others reach this one; None: where ``peers`` binds
+    term: Annotated[Duration, Field(ge=1_000.0)] = 10_000.0
+    keep: Duration = 600_000.0
+    rate: Annotated[Rate, Field(ge=10.0)] = 20.0
+
+    @model_validator(mode="after")
+    def _fits(self) -> FleetBlock:
+        if self.keep <= self.term:
+            raise ValueError("keep: longer than term")
+        return self
+
+
 class ListBlock(Block):
     url: WebAddress
     mode: Literal["push", "ask"] = "push"
@@ -234,7 +251,7 @@
 class File(Block):
     """A whole settings file."""
 
-    ingress: tuple[Whole, Whole]  # its number, and how many there are
+    ingress: tuple[OwnNumber, Whole]  # its number, and how many there are
     zone: Name
     listen: Address
     path: Annotated[str, Field(pattern=r"^/\S*$")] = "/"
@@ -244,6 +261,7 @@
     meter: Duration = 0.0
     list: ListBlock
     peers: PeersBlock | None = None
+    fleet: FleetBlock | None = None
     counter: CounterBlock | None = None
     rules: RulesBlock = RulesBlock()
     limits: LimitsBlock = LimitsBlock()
--- a/rushweir/config/values.py
+++ b/rushweir/config/values.py
@@ -79,6 +79,16 @@
     return int(word)
 
 
+def own_number(word: Any) -> int:
+    """A number of an ingress; -1 for ``auto``, which the fleet gives."""
+    if str(word) == "auto":
+        return -1
+    try:
+        return whole(word)
+    except ValueError:
+        raise ValueError("a whole number, or auto") from None
+
+
 def amount(word: Any) -> amounts.Amount:
     """Thousandths of a unit of ``2``, ``0.25``."""
     return amounts.Amount(amounts.parse(str(word)))
@@ -98,6 +108,7 @@
 Number = Annotated[float, BeforeValidator(number)]
 Whole = Annotated[int, BeforeValidator(whole)]
 Net = Annotated[Any, BeforeValidator(network)]
+OwnNumber = Annotated[int, BeforeValidator(own_number)]
 Amount = Annotated[Any, BeforeValidator(amount)]
 BodyField = Annotated[str, BeforeValidator(body_field)]
 
@@ -108,6 +119,8 @@
         return [f"{value:.12g}ms"]
     if read is rate:
         return [f"{value:.12g}/s"]
+    if read is own_number and value == -1:
+        return ["auto"]
     if isinstance(value, amounts.Amount):
         return [amounts.text(value)]
     if isinstance(value, bool):
--- a/rushweir/daemon/consoles.py
+++ b/rushweir/daemon/consoles.py
@@ -6,17 +6,25 @@
 import contextlib
 import socket
 import sys
-from typing import TYPE_CHECKING
+from typing import Any, Protocol
 
 import orjson
 
-if TYPE_CHECKING:
-    from rushweir.daemon.service import Service
-
 PAUSES_S = (0.5, 30.0)  # before it is started again, the first time and at most
 BACKLOG = 128
 
 
+class Service(Protocol):
+    """What the console's process needs of the daemon."""
+
+    config: Any
+    core: Any
+    shell: Any
+    log: Any
+
+    def clock(self) -> float: ...
+
+
 class ConsoleProcess:
     """Holds the listening socket, so that viewers wait out a restart of the process, and a handover."""
 
@@ -68,7 +76,7 @@
         settings = {
             "fd": self.sock.fileno(), "control": str((base / file.control.socket).resolve()),
             "users_file": str((base / block.users_file).resolve()), "session_ms": block.session,
-            "viewers": block.viewers, "metrics": block.metrics, "name": f"rushweir {file.ingress[0]}, {file.zone}",
+            "viewers": block.viewers, "metrics": block.metrics, "name": f"rushweir {service.config.me}, {file.zone}",
         }  # fmt: skip
         self.process = await asyncio.create_subprocess_exec(
             sys.executable, "-m", "rushweir.console", stdin=asyncio.subprocess.PIPE, stdout=asyncio.subprocess.PIPE,
--- a/rushweir/daemon/operations.py
+++ b/rushweir/daemon/operations.py
@@ -61,6 +61,7 @@
             "loop_delay_ms": round(core.overload.delay_ms, 1), "reloaded_ms": self.reloaded_at,
             "answers": {k: core.engine.counts[k] for k in ("served", "refused", "failed", "left")},
             "faults": core.engine.faults, "attempts_out": len(core.pool.where),
+            **({"fleet": core.fleet.seen()} if core.fleet is not None else {}),
         }  # fmt: skip
 
     def overview(self) -> dict[str, Any]:
--- a/rushweir/daemon/service.py
+++ b/rushweir/daemon/service.py
@@ -12,6 +12,7 @@
 import socket
 import sys
 from collections.abc import Callable
+from dataclasses import replace
 from importlib.metadata import PackageNotFoundError, version
 from pathlib import Path
 from typing import Any
@@ -21,11 +22,13 @@
 from rushweir.daemon import control
 from rushweir.daemon.decisions import leaving, needs_restart
 from rushweir.daemon.handover import Inherited
+from rushweir.daemon.joining import Joining, bound, member
 from rushweir.daemon.lock import StateLock
 from rushweir.daemon.notify import notify, reloading
 from rushweir.daemon.operations import Operations
 from rushweir.daemon.traces import Tracing
 from rushweir.ingress.core import Core
+from rushweir.ingress.membership import Membership
 from rushweir.ingress.shell import Clock, Shell, calm_collector
 from rushweir.link import rpc
 from rushweir.logs.decisions import Limiter
@@ -55,26 +58,58 @@
         self.lock: StateLock | None = None
         if config.state is not None:
             self.lock = StateLock(config.state, inherited.fds.get("lock") if inherited else None)
-        settings = config.settings()
-        now = self.clock()
-        self.core = Core(config.setup(self.seed, self.boot + "-"), Policy(settings, self.seed, now), now)
-        self.core.watch.traced = Tracing().course
+        self.member = member(config, secrets.randbits(63), self.clock())
+        self.peer_socket: socket.socket | None = None
         self.since = datetime.datetime.now(datetime.UTC).isoformat(timespec="seconds")
         facts = {"pid": os.getpid(), "boot": self.boot, "since": self.since, "version": program_version()}
-        self.ops = Operations(self.core, self.clock, config, facts)
+        self.facts = facts
         self.ending = asyncio.Event()
-        self.leave = self.rush = False
+        self.leave = self.rush = self.failed = False
         self.reloading = asyncio.Lock()
         self.control: asyncio.Server | None = None
         self.control_file: Path | None = None
         self.control_tasks: set[asyncio.Task] = set()
         self.console: Any = None
+
+    def _assemble(self) -> None:
+        """The ingress, once its number is known."""
+        config, now = self.config, self.clock()
+        setup = self._setup(config)
+        self.core = Core(setup, Policy(setup.settings, self.seed, now), now)
+        self.core.watch.traced = Tracing().course
+        self.ops = Operations(self.core, self.clock, config, self.facts)
         peers = dict(config.file.peers.peer) if config.file.peers else {}
-        state = config.state
         self.shell = Shell(
-            self.core, self.clock, peers=peers, list_file=state / "list.json" if state else None, remark=log.remark
+            self.core, self.clock, peers=peers, folder=config.state, end=self._must_end, remark=self.log.remark
         )
 
+    def _setup(self, config: Config) -> Any:
+        made = config.setup(self.seed, self.boot + "-")
+        if self.member is not None:
+            made = replace(made, fleet=Membership(self.member, config.me, config.file.ingress[0] < 0))
+        return made
+
+    async def _join(self) -> bool:
+        """Open the fleet's socket, and wait for a number where the fleet gives it; whether there is one."""
+        old, file = self.inherited, self.config.file
+        kept = old is not None and file.peers and tuple(old.facts.get("peers", ())) == file.peers.bind
+        self.peer_socket = old.socket("peers") if old and kept else None
+        if self.member is None:
+            return True
+        if self.peer_socket is None:
+            self.peer_socket = bound(file.peers.bind)
+        if file.ingress[0] >= 0:
+            return True
+        note = lambda level, cause, **fields: self.log.event(level, cause, **fields)  # noqa: E731
+        number = await Joining(self.member, self.peer_socket, self.clock, self.config.state, note).run(self.ending)
+        self.config = replace(self.config, seat=number)
+        return number >= 0
+
+    def _must_end(self, why: str) -> None:
+        self.log.event("error", "must_end", why=why)
+        self.failed = True
+        self.stop()
+
     # --- from start to end -----------------------------------------------------------------------
 
     async def run(self, announce: Callable[[str], None] = print) -> int:
@@ -84,11 +119,15 @@
             loop.add_signal_handler(sign, self.stop)
         loop.add_signal_handler(signal.SIGHUP, lambda: self._spawn(self._reload_by_signal()))
         try:
+            if not await self._join():
+                return self._ended_early(0)
+            self._assemble()
             where = await self._start()
         except OSError as problem:
             self.log.event("error", "cannot_listen", why=str(problem))
-            await self.shell.kill()
-            return 1
+            if hasattr(self, "shell"):
+                await self.shell.kill()
+            return self._ended_early(1)
         if self.inherited is not None:
             await asyncio.to_thread(self.inherited.done)
         me = self.core.setup.settings.me
@@ -106,14 +145,13 @@
         file, old = self.config.file, self.inherited
         host, port = file.listen
         same = old is not None and tuple(old.facts.get("listen", ())) == (host, port)
-        kept_peers = old is not None and file.peers and tuple(old.facts.get("peers", ())) == file.peers.bind
         port = await self.shell.serve(
             host, port, file.peers.bind if file.peers else None,
             listening=old.socket("listen") if old and same else None,
-            peer_socket=old.socket("peers") if old and kept_peers else None,
+            peer_socket=self.peer_socket,
         )  # fmt: skip
         if self.lock is not None:
-            self.lock.tell(pid=os.getpid(), ingress=file.ingress[0], since=self.since)
+            self.lock.tell(pid=os.getpid(), ingress=self.config.me, since=self.since)
         if file.control is not None:
             await self._open_control(self.config.base / file.control.socket, int(file.control.mode, 8))
         if file.console is not None:
@@ -157,7 +195,12 @@
         self.log.event("info", "stopped", answered=answered, **self.core.figures()["engine"])
         if self.lock is not None:
             self.lock.close()
-        return 0 if answered else 1
+        return 0 if answered and not self.failed else 1
+
+    def _ended_early(self, code: int) -> int:
+        if self.lock is not None:
+            self.lock.close()
+        return code
 
     async def _tell_left_out(self) -> None:
         while True:
@@ -191,10 +234,10 @@
                 notify("READY=1")
 
     def _read(self) -> tuple[Config, Any, list[dict[str, object]]]:
-        new = load(self.path)
+        new = replace(load(self.path), seat=self.config.seat)
         if problems := needs_restart(self.config, new):
             raise ConfigError(problems)
-        setup = new.setup(self.seed, self.boot + "-")
+        setup = self._setup(new)
         return new, setup, differ(as_rows(self.config.effective()), as_rows(new.effective()))
 
     def _apply(self, new: Config, setup: Any, changes: list[dict[str, object]]) -> list[dict[str, object]]:
--- /dev/null
+++ b/rushweir/fleet/chair.py
@@ -0,0 +1,154 @@
+"""Who decides: one seed at a time, by a lease that a majority of the seeds gives (PaxosLease; Trencseni, Gazso and
+Reinhardt 2012). Nothing of it is kept on disk: a seed that starts waits until all that its predecessor may have
+granted is over, and only then gives its vote.
+
+What the seed that asks does:
+
+    from        event                   to
+    RESTING     nobody has the lease    PREPARING    asks all seeds for a promise
+    PREPARING   promises of a majority  PROPOSING    its right counts from here, before anything is granted
+    PROPOSING   a majority granted      HOLDING
+    HOLDING     a third of it is over   PREPARING    it goes on holding meanwhile
+    any         round over its time     RESTING      or HOLDING, while its right lasts
+
+No I/O, no clock.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from rushweir.fleet import frame as f
+from rushweir.fleet.drift import longest, shortest
+from rushweir.fleet.views import SEED_BITS
+
+if TYPE_CHECKING:
+    from rushweir.fleet.core import Fleet
+
+RENEW_PART = 1 / 3  # of the term: then a holder asks again, so that a lost round leaves time for another
+ROUND_PART = 1 / 8  # of the term: a round that is not over by then has failed
+NOBODY = 0
+PREPARING, PROPOSING = "preparing", "proposing"
+
+
+class Vote:
+    """One seed's vote: what it promised and granted."""
+
+    def __init__(self, now: float, term_ms: float) -> None:
+        self.term = term_ms
+        self.silent_until = now + longest(term_ms)
+        self.promised, self.granted, self.holder, self.until = 0, 0, NOBODY, now
+
+    def prepare(self, now: float, ballot: int) -> tuple[bool, int] | None:
+        """Whether it promises to grant nothing to lower ballots, and who has its grant; None: it has no vote yet."""
+        if now < self.silent_until:
+            return None
+        if ballot <= self.promised:
+            return False, NOBODY
+        self.promised = ballot
+        return True, self.given(now)
+
+    def propose(self, now: float, ballot: int, holder: int) -> bool | None:
+        if now < self.silent_until:
+            return None
+        if ballot < self.promised:
+            return False
+        self.promised = self.granted = ballot
+        self.holder, self.until = holder, now + self.term
+        return True
+
+    def release(self, holder: int) -> None:
+        """The holder acts on it no more, and says so."""
+        if self.holder == holder:
+            self.holder = NOBODY
+
+    def given(self, now: float) -> int:
+        return self.holder if now < self.until else NOBODY
+
+
+@dataclass(slots=True)
+class Round:
+    """One try to get or to renew the lease."""
+
+    ballot: int
+    at: float  # when what it may give began to count
+    phase: str = PREPARING
+    yes: set[int] = field(default_factory=set)
+    newest: tuple[int, int] = (0, 0)  # number of the newest view that a promise named, and who has it
+
+
+class Chair:
+    """One seed's way to the lease."""
+
+    def __init__(self, fleet: Fleet, vote: Vote) -> None:
+        self.fleet, self.vote, self.seed = fleet, vote, fleet.settings.voter
+        self.term = fleet.settings.chair_ms
+        self.majority = len(fleet.settings.seeds) // 2 + 1
+        self.round: Round | None = None
+        self.until = fleet.now  # the lease is held before
+        self.renew_at = self.highest = 0.0
+        self.next_try = vote.silent_until
+
+    def holds(self) -> bool:
+        """Looked at in the turn in which something is done by it, so that a process that was paused does nothing."""
+        return self.fleet.now < self.until
+
+    def tick(self, _: object = None) -> None:
+        now, fleet = self.fleet.now, self.fleet
+        if self.round is not None and now > self.round.at + self.term * ROUND_PART:
+            self.round = None
+            self.next_try = now + fleet.rng.uniform(0.5, 1.5) * self.term * ROUND_PART
+        if self.round is None and not fleet.leaving:
+            open_ = self.vote.given(now) in (NOBODY, fleet.me)
+            if self.holds() and now >= self.renew_at or (not self.holds() and open_ and now >= self.next_try):
+                self._begin()
+        fleet.at(self.term / 30, self.tick, None)
+
+    def _begin(self) -> None:
+        now, fleet = self.fleet.now, self.fleet
+        counter = (max(int(self.highest), self.vote.promised) >> SEED_BITS) + 1
+        self.round = Round(counter << SEED_BITS | self.seed, now)
+        for peer in fleet.other_seeds():
+            fleet.send(f.PREPARE, peer.id, [self.round.ballot])
+        told = self.vote.prepare(now, self.round.ballot)
+        if told is not None:
+            self.promised(fleet.me, self.round.ballot, told[0], told[1], fleet.seating.kept.number, 0)
+
+    def promised(self, voter: int, ballot: int, ok: bool, holder: int, view: int, highest: int) -> None:
+        self.highest = max(self.highest, highest)
+        r, now, fleet = self.round, self.fleet.now, self.fleet
+        if r is None or r.ballot != ballot or r.phase != PREPARING or not ok or holder not in (NOBODY, fleet.me):
+            return
+        r.yes.add(voter)
+        r.newest = max(r.newest, (view, voter))
+        if len(r.yes) < self.majority:
+            return
+        r.phase, r.at, r.yes = PROPOSING, now, set()
+        for peer in fleet.other_seeds():
+            fleet.send(f.PROPOSE, peer.id, [ballot])
+        if self.vote.propose(now, ballot, fleet.me):
+            self.accepted(fleet.me, ballot, True)
+
+    def accepted(self, voter: int, ballot: int, ok: bool) -> None:
+        r, fleet = self.round, self.fleet
+        if r is None or r.ballot != ballot or r.phase != PROPOSING or not ok:
+            return
+        r.yes.add(voter)
+        if len(r.yes) < self.majority:
+            return
+        new, self.round = not self.holds(), None
+        self.until = r.at + shortest(self.term)
+        self.renew_at = r.at + RENEW_PART * self.term
+        if new and self.holds():
+            fleet.counts["elected"] += 1
+            fleet.note("info", "chair_taken", ballot=ballot)
+            fleet.seating.open(ballot, *r.newest)
+
+    def give_up(self) -> None:
+        """Hold it no more, and tell the other seeds that they need not wait."""
+        if self.holds():
+            self.until, self.round = self.fleet.now, None
+            self.vote.release(self.fleet.me)
+            for peer in self.fleet.other_seeds():
+                self.fleet.send(f.RELEASE, peer.id, [])
--- /dev/null
+++ b/rushweir/fleet/core.py
@@ -0,0 +1,375 @@
+"""One member of a fleet without I/O: datagrams and time in, orders out.
+
+It joins who is alive (members.py), what all know (table.py, exchange.py), who decides (chair.py) and who has which
+number (seating.py, views.py). Nothing here waits, reads a clock or opens anything. Equal calls give equal orders.
+
+How sure a member is of the view that it holds: the chair's answer to a probe says that the view is in force now; any
+other member's says how long ago it was surely in force. The receiver counts from when it *asked*, adds what the
+answer says, and so holds an upper bound of the age, whatever the network did. ``current`` and ``seat`` look at it.
+"""
+
+from __future__ import annotations
+
+import random
+from collections import Counter, OrderedDict, deque
+from collections.abc import Callable
+from heapq import heappop, heappush
+from math import ceil, inf
+from typing import Any
+
+import msgpack
+
+from rushweir.fleet import frame as f
+from rushweir.fleet import orders as o
+from rushweir.fleet.budget import Budget
+from rushweir.fleet.chair import Chair, Vote
+from rushweir.fleet.drift import longest, shortest
+from rushweir.fleet.exchange import ROWS_ROOM, Exchange
+from rushweir.fleet.handlers import HANDLERS
+from rushweir.fleet.members import DEAD, NAMES, SUSPECT, Member, Members
+from rushweir.fleet.seating import Seating, changed, load
+from rushweir.fleet.settings import FleetSettings, told_times
+from rushweir.fleet.table import HEADING, MEMBER, SEAT, Table, fitting, size
+from rushweir.fleet.views import LOST, SEAT_BYTES, View, seat
+
+MEMBER_BYTES, HEADING_BYTES = 96, 48
+TOLD_ROOM = f.MOST_BODY - 44  # and in a probe or its answer
+ASK_SEAT_MS, FREE_MS, FREE_TRIES = 500.0, 100.0, 6
+MOST_PINGS = 256  # whose answers are waited for
+AT_ONCE_S = 2.0  # of the budget may go for telling a view to all, beyond which it is left to gossip
+MAIL_PART = 0.25  # of a datagram of the quotas counts against what the fleet may send
+
+
+class Fleet:
+    """One member. Take the orders from ``orders`` after each call and carry them out in order."""
+
+    def __init__(
+        self, settings: FleetSettings, key: bytes, seed: int, now: float, kept: bytes | None = None,
+        bounds: dict[int, int] | None = None,
+    ) -> None:  # fmt: skip
+        """``seed``: for the number of this process and all its chances, another at each start; ``kept``: what a
+        KeepFile order wrote last; ``bounds``: bytes of each kind of entry that users of the fleet write.
+        Raises KeptError."""
+        self.settings, self.now, self.rng = settings, now, random.Random(seed)
+        self.me = self.rng.getrandbits(63) + 1
+        self.frames = f.Frames(self.me, key, settings.most_entries)
+        self.orders: deque[o.Order] = deque()
+        self.counts: Counter[str] = Counter()
+        self.timers: list[tuple[float, int, Callable[[Any], None], Any]] = []
+        self.serial = self.ping_serial = 0
+        kinds = {MEMBER: MEMBER_BYTES, SEAT: SEAT_BYTES, HEADING: HEADING_BYTES, **(bounds or {})}
+        self.table = Table(kinds, settings.most_entries, lambda origin: origin in self.members.known)
+        self.members, self.exchange = Members(self), Exchange(self)
+        self.view, self.confirmed = View(), ()
+        self.sure_at = -inf  # the view that is held here was in force at this time or later
+        self.seated_at = -inf  # and so was one in which this process has a seat
+        self.number = -1
+        self.pings: OrderedDict[tuple[int, int], float] = OrderedDict()
+        self.budget = Budget(settings.per_s, now)
+        self.leaving = self.left = self.silent = False
+        self.free_tries = 0
+        self.refused = ""  # why the chair gave no seat
+        self.apps: dict[int, Callable[[int, list], None]] = {}  # who takes messages of users, by their topic
+        self.vote: Vote | None = None
+        if settings.voter >= 0:
+            self.vote = Vote(now, settings.chair_ms)
+            self.seating = Seating(self, load(kept) if kept else View())
+            self.chair = Chair(self, self.vote)
+
+    # --- time ------------------------------------------------------------------------------------
+
+    def start(self, now: float) -> None:
+        self.now = now
+        self.members.write()
+        self.at(0.0, self.members.tick, now)
+        self.exchange.start()
+        self.at(0.0, self._look_after_seat, None)
+        if self.vote is not None:
+            self.at(0.0, self.chair.tick, None)
+            self.at(0.0, self.seating.step, None)
+
+    def next_at(self) -> float | None:
+        return self.timers[0][0] if self.timers else None
+
+    def at(self, after_ms: float, what: Callable[[Any], None], argument: Any) -> None:
+        self.serial += 1
+        heappush(self.timers, (self.now + after_ms, self.serial, what, argument))
+
+    def advance(self, now: float) -> None:
+        """Let time pass."""
+        self.now = now
+        due = []
+        while self.timers and self.timers[0][0] <= now:
+            due.append(heappop(self.timers))
+        for _, _, what, argument in due:
+            what(argument)
+
+    # --- datagrams -------------------------------------------------------------------------------
+
+    def datagram(self, now: float, data: bytes) -> None:
+        self.now = now
+        told = None if self.silent else self.frames.unpack(data)
+        if told is None:
+            return
+        kind, sender, body = told
+        handler = HANDLERS.get(kind)
+        if handler is None:
+            self.counts["unknown_kinds"] += 1
+            return
+        try:
+            handler(self, sender, body)
+        except (ValueError, TypeError, IndexError, KeyError):
+            self.counts["bad_bodies"] += 1  # of a member with another version of the program, or a faulty one
+            return
+        m = self.members.known.get(sender)
+        if m is not None and m.state == DEAD and self.may_spend():
+            self.send(f.ROWS, sender, [[self.table.row((MEMBER, sender))]])  # so that it objects
+
+    def send(self, kind: int, to: int, body: list) -> None:
+        m = self.members.known.get(to)
+        if m is not None:
+            self.send_to(m.address, kind, to, body)
+
+    def send_to(self, address: tuple[str, int], kind: int, to: int, body: list) -> None:
+        self.budget.draw(self.now)
+        self.counts["sent"] += 1
+        self.orders.append(o.SendTo(address, self.frames.pack(kind, to, body)))
+
+    def may_spend(self) -> bool:
+        """Whether the budget of datagrams has room for what can wait. Probes, their answers and what the chair
+        needs always go: there are few of them, and nothing else works without."""
+        return self.budget.has(self.now)
+
+    def mail(self, count: int = 1) -> None:
+        """The quotas sent so many datagrams: theirs go first, and the fleet's waiting ones have the less."""
+        self.budget.draw(self.now, count * MAIL_PART)
+
+    def send_app(self, topic: int, to: int, body: list) -> None:
+        """A message of a user of the fleet, which draws on the same budget; it may be lost as any."""
+        self.send(f.APP, to, [topic, *body])
+
+    # --- the others ------------------------------------------------------------------------------
+
+    def ping(self, kind: int, to: int, number: int) -> None:
+        self.pings[to, number] = self.now
+        if len(self.pings) > MOST_PINGS:
+            self.pings.popitem(last=False)
+        # With its own entry: who forgot this member could not answer it.
+        own = self.table.row((MEMBER, self.me))
+        self.send(kind, to, [number, *self.beacon(), [own, *self.told(to, TOLD_ROOM - size(own))]])
+
+    def told(self, to: int, room: int = TOLD_ROOM) -> list:
+        times = told_times(self.settings.most)
+        m = self.members.known.get(to)
+        return self.table.take(room, times, (MEMBER, to) if m is not None and m.state == SUSPECT else None)
+
+    def beacon(self) -> list[int]:
+        """The view that holds here, and for how long it is not sure to be in force."""
+        age = self.age()
+        return [self.view.number, -1 if age == inf else ceil(age)]
+
+    def age(self) -> float:
+        if self.in_chair():
+            self.sure_at = self.now
+        return self.now - self.sure_at
+
+    def in_chair(self) -> bool:
+        """Whether the view that holds here is this process's own, and it may decide now."""
+        return (
+            self.vote is not None and self.chair.holds() and self.seating.state in ("open", "putting")
+            and self.view.number > 0 and self.made == self.seating.ballot
+        )  # fmt: skip
+
+    made = 0  # by which ballot of this process the view that holds was put
+
+    def learn_age(self, sender: int, number: int, view: int, age: int) -> None:
+        """A probe was answered: what the answer says of the view held for a time that is counted from the probe."""
+        asked = self.pings.pop((sender, number), None)
+        if asked is not None and age >= 0 and view == self.view.number:
+            self.sure_at = max(self.sure_at, asked - longest(age))
+            self._seated()
+
+    def merge(self, rows: Any) -> None:
+        """Entries that came with any message."""
+        heading = False
+        for row in rows if isinstance(rows, list) else ():
+            if not (isinstance(row, list) and len(row) == 4):
+                continue
+            kind, origin = row[0], row[1]
+            if kind == MEMBER and not self.members.heard(row):
+                continue
+            if self.table.merge(row):
+                self.exchange.learnt = True
+                if kind == MEMBER:
+                    self.members.took(origin)
+                heading |= kind in (SEAT, HEADING)
+        if heading:
+            self._adopt()
+
+    def member_changed(self, new: Member, had: Member | None) -> None:
+        if had is None or (had.state >= DEAD) != (new.state >= DEAD):
+            self.counts["member_changes"] += 1
+            host, port = new.address
+            self.note("info", f"member_{NAMES[new.state]}", address=f"{host}:{port}", zone=new.zone)
+
+    def note(self, level: str, cause: str, **fields: Any) -> None:
+        self.orders.append(o.Note(level, cause, fields))
+
+    # --- entries of users ------------------------------------------------------------------------
+
+    def publish(self, kind: int, data: bytes) -> bool:
+        """Write this process's own entry of a kind; whether it fits."""
+        had = self.table.get(kind, self.me)
+        return self.table.put(kind, self.me, (had[0] if had else 0) + 1, data)
+
+    # --- views -----------------------------------------------------------------------------------
+
+    def other_seeds(self) -> list[Member]:
+        found = [self.members.at(a) for a in self.settings.seeds if a != self.settings.address]
+        return [m for m in found if m is not None]
+
+    def keep(self, serial: int, data: bytes) -> None:
+        self.orders.append(o.KeepFile(serial, data))
+
+    def kept(self, now: float, serial: int) -> None:
+        """A KeepFile order was carried out."""
+        self.now = now
+        self.seating.was_kept(serial)
+
+    def in_force(self, view: View, seeds: list[int]) -> None:
+        """This process, in the chair, made a view, and a majority of the seeds keeps it: tell everybody."""
+        for n in sorted(view.seats.keys() | self.view.seats.keys() | self.table.of(SEAT).keys()):
+            data = view.seats[n].pack() if n in view.seats else b""
+            had = self.table.get(SEAT, n)
+            if (had is None and data) or (had is not None and had[1] != data):
+                self.table.put(SEAT, n, view.number, data)
+        bits = sum(1 << k for k in seeds)
+        self.table.put(HEADING, 0, view.number, msgpack.packb([view.digest(), self.me, bits]))
+        # A small fleet hears of it at once; in a large one it goes from member to member.
+        rows = [self.table.row(k) for k in ((HEADING, 0), *((SEAT, n) for n, _ in changed(self.view, view)))]
+        portions = fitting(rows, ROWS_ROOM)
+        others = self.members.alive()
+        if len(portions) * len(others) <= self.settings.per_s * AT_ONCE_S:
+            for m in others:
+                for portion in portions:
+                    self.send(f.ROWS, m.id, [portion])
+        self.made = self.seating.ballot
+        self._adopt()
+
+    def _adopt(self) -> None:
+        """Hold the view that the table tells of, once all of it is there."""
+        heading = self.table.get(HEADING, 0)
+        if heading is None or heading[0] <= self.view.number:
+            return
+        digest, _, bits = msgpack.unpackb(heading[1])
+        found = {n: seat(data) for n, (_, data) in self.table.of(SEAT).items()}
+        view = View(heading[0], {n: s for n, s in found.items() if s is not None})
+        if view.digest() != digest:
+            return
+        self.view, self.sure_at = view, -inf
+        self.confirmed = tuple(k for k in range(len(self.settings.seeds)) if bits >> k & 1)
+        if self.in_chair():
+            self.sure_at = self.now
+        self.counts["views"] += 1
+        self.orders.append(o.ViewChanged())
+        self._seated()
+
+    def _seated(self) -> None:
+        """Note when a view in force surely had a seat of this process, and which."""
+        n = self.view.number_of(self.me)
+        if n >= 0 and self.view.seats[n].state != LOST:
+            self.seated_at = max(self.seated_at, self.sure_at)
+            if n != self.number:
+                self.number = n
+                self.refused = ""
+                self.orders.append(o.SeatChanged(n))
+        elif self.number >= 0 and (n < 0 or n != self.number):
+            # Another has it, or it was given back.
+            self.number, self.seated_at = -1, -inf
+            self.orders.append(o.SeatChanged(-1))
+
+    def chair_id(self) -> int:
+        """Who made the newest view that this process knows of; 0: nobody."""
+        heading = self.table.get(HEADING, 0)
+        return msgpack.unpackb(heading[1])[1] if heading is not None else 0
+
+    def current(self) -> bool:
+        """Whether the view that is held here may be acted on now: no other was in force for longer than that."""
+        return self.view.number > 0 and self.age() < shortest(self.settings.view_ms)
+
+    def seat(self) -> int:
+        """The number that is surely this process's own now, -1: none. Looked at in the turn that acts on it."""
+        if self.in_chair():
+            self.age()
+            self._seated()
+        return self.number if self.now - self.seated_at < shortest(self.settings.keep_ms) else -1
+
+    def _look_after_seat(self, _: object) -> None:
+        if self.leaving:
+            self._give_back()
+            return
+        again = ASK_SEAT_MS
+        if not self.view.holds(self.me):
+            s = self.settings
+            seats = (seat(data) for _, data in self.table.of(SEAT).values())
+            if any(x is not None and x.id == self.me for x in seats):
+                again = 4 * ASK_SEAT_MS  # it has one; the rest of that view is still on its way
+            if self.vote is not None and self.chair.holds():
+                self.seating.wish(self.me, s.address, s.wanted)
+            else:
+                known = self.members.known.get(self.chair_id())
+                ask = [known] if known is not None and known.state <= SUSPECT else self.other_seeds()
+                for m in self.rng.sample(ask, min(1, len(ask))):
+                    self.send(f.SEAT_ASK, m.id, [*s.address, s.wanted, [self.table.row((MEMBER, self.me))]])
+        self.at(again, self._look_after_seat, None)
+
+    # --- the end ---------------------------------------------------------------------------------
+
+    def leave(self, now: float) -> None:
+        """Give the number back, tell the others, and be done: ``left`` says when. Nothing may be done on the number
+        after this call."""
+        self.now = now
+        if self.leaving:
+            return
+        self.leaving = True
+        self.number, self.seated_at = -1, -inf
+        self.members.leave()
+        self._give_back()
+
+    def hush(self, now: float) -> None:
+        """Not a word more: a successor at the same address goes on. The number stays taken, by it."""
+        self.now = now
+        if self.vote is not None:
+            self.chair.give_up()
+        self.leaving = self.left = self.silent = True
+        self.number, self.seated_at = -1, -inf
+        self.timers.clear()
+
+    def _give_back(self) -> None:
+        if self.left:
+            return
+        self.free_tries += 1
+        if self.free_tries > FREE_TRIES:
+            self._over()
+            return
+        if self.vote is not None and self.chair.holds():
+            self.seating.freed(self.me)
+            if self.view.number_of(self.me) < 0:
+                self._over()
+                return
+        elif (known := self.members.known.get(self.chair_id())) is not None:
+            self.send(f.SEAT_FREE, known.id, [])
+        self.at(FREE_MS, lambda _: self._give_back(), None)
+
+    def _over(self) -> None:
+        """The last words: to some others, so that nobody has to find out."""
+        if self.vote is not None:
+            self.chair.give_up()
+        others = self.members.alive()
+        for m in self.rng.sample(others, min(3, len(others))):
+            self.send(f.ROWS, m.id, [[self.table.row((MEMBER, self.me))]])
+        self.left = True
+
+    def seat_freed(self) -> None:
+        if self.leaving and not self.left:
+            self._over()
--- /dev/null
+++ b/rushweir/fleet/exchange.py
@@ -0,0 +1,116 @@
+"""How copies of the table find each other and are compared: calls to seeds, digests, versions, entries. No I/O."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from rushweir.fleet import frame as f
+from rushweir.fleet.budget import Budget
+from rushweir.fleet.members import ALIVE
+from rushweir.fleet.settings import JOIN_MS, REST_MS
+from rushweir.fleet.table import HEADING, MEMBER, PARTS, fitting
+
+if TYPE_CHECKING:
+    from rushweir.fleet.core import Fleet
+
+ROWS_ROOM, VERSIONS_ROOM = f.MOST_BODY - 8, f.MOST_BODY - 16  # bytes of entries, of versions, in a datagram
+MOST_EXCHANGED = 2  # parts of the table that one comparison leads to
+SOON_MS = 200.0  # until the next comparison after one that brought something new
+MUCH = 1 / 4  # of the parts differ: then about as many entries are lacking as their versions would take
+MOST_WHOLE = 6  # datagrams of entries for one digest
+WELCOMED = 6  # members that a newcomer is told of at once
+CALL_PART = 0.2  # of the members call a seed that is not known to be alive, in each JOIN_MS
+
+
+class Exchange:
+    """One member's side."""
+
+    def __init__(self, fleet: Fleet) -> None:
+        self.fleet, self.rng = fleet, fleet.rng
+        self.learnt = False  # something since the last comparison
+        self.welcomes = Budget(fleet.settings.per_s, fleet.now)
+
+    def start(self) -> None:
+        self.fleet.at(self.rng.uniform(0, REST_MS), self._compare, None)
+        self.fleet.at(0.0, self._join, None)
+
+    def _join(self, _: object) -> None:
+        """Call the seeds that are not known to be alive: at the start, and after a cut that lasted."""
+        fleet, s = self.fleet, self.fleet.settings
+        lost = [a for a in s.seeds if a != s.address and fleet.members.at(a) is None]
+        few = fleet.members.count() < 2 * len(s.seeds)
+        if not fleet.leaving:
+            for address in lost:
+                # After a cut each member on a side lacks the same seeds: that some of them call is enough.
+                if few or self.rng.random() < CALL_PART:
+                    fleet.send_to(address, f.JOIN, f.ANYBODY, [fleet.table.row((MEMBER, fleet.me))])
+        fleet.at(JOIN_MS * self.rng.uniform(0.8, 1.2), self._join, None)
+
+    def welcome(self, to: int, address: tuple[str, int] | None = None) -> None:
+        """Answer who knows nobody: with this process, and some others by lot."""
+        fleet, known = self.fleet, self.fleet.members.known
+        address = known[to].address if address is None and to in known else address
+        if address is None:
+            return
+        others = [(MEMBER, x.id) for x in known.values() if x.state == ALIVE and x.id != fleet.me]
+        keys = [(MEMBER, fleet.me), *self.rng.sample(others, min(WELCOMED, len(others)))]
+        fleet.send_to(address, f.WELCOME, to, [fitting([fleet.table.row(k) for k in keys], ROWS_ROOM)[0]])
+
+    def _compare(self, _: object) -> None:
+        alive = self.fleet.members.alive()
+        if alive and self.fleet.may_spend() and not self.fleet.leaving:
+            self._send_digest(self.rng.choice(alive).id, False)
+        rest, self.learnt = SOON_MS if self.learnt else REST_MS, False
+        self.fleet.at(rest * self.rng.uniform(0.8, 1.2), self._compare, None)
+
+    def _send_digest(self, to: int, answer: bool) -> None:
+        self.fleet.send(f.DIGEST, to, [self.fleet.table.digest(), answer])
+
+    def differs(self, sender: int, digest: bytes, answer: bool) -> None:
+        """Another's digest came. Where much differs, entries are sent as they are, some parts of them, and so does
+        the other; where little does, versions of a part or two are compared first."""
+        fleet, table, sent = self.fleet, self.fleet.table, 0
+        parts = table.differing(digest)
+        self.rng.shuffle(parts)
+        if len(parts) <= MUCH * PARTS:
+            for part in parts[:MOST_EXCHANGED]:
+                if fleet.may_spend():
+                    self.tell_versions(sender, part, table.versions(part), True)
+            return
+        for part in parts:
+            if sent < MOST_WHOLE:
+                sent += self._send_rows(sender, [table.row(k) for k in table.keys(part)])
+        if not answer and fleet.may_spend():
+            self._send_digest(sender, True)
+
+    def _send_rows(self, to: int, rows: list) -> int:
+        sent = 0
+        for portion in fitting(rows, ROWS_ROOM):
+            if self.fleet.may_spend():
+                self.fleet.send(f.ROWS, to, [portion])
+                sent += 1
+        return sent
+
+    def point_to_chair(self, to: int) -> None:
+        """Somebody asked this seed for what the chair does."""
+        fleet = self.fleet
+        keys = [(HEADING, 0), (MEMBER, fleet.chair_id())]
+        rows = [fleet.table.row(k) for k in keys if fleet.table.get(*k) is not None]
+        if rows and fleet.may_spend():
+            fleet.send(f.ROWS, to, [rows])
+
+    def tell_versions(self, to: int, part: int, versions: list, answer: bool) -> None:
+        """``answer``: the receiver says what it lacks. Of a large part some by lot are told."""
+        portions = fitting(versions, VERSIONS_ROOM) or [[]]
+        whole = len(portions) == 1
+        if not whole:
+            self.rng.shuffle(versions)
+            portions = fitting(versions, VERSIONS_ROOM)
+        self.fleet.send(f.VERSIONS, to, [part, whole and answer, answer, portions[0]])
+
+    def versions(self, sender: int, part: int, whole: bool, answer: bool, theirs: list) -> None:
+        lacks, wants = self.fleet.table.missing(part, theirs, whole)
+        self._send_rows(sender, [self.fleet.table.row(k) for k in lacks])
+        if wants and answer and self.fleet.may_spend():
+            mine = [[k, origin, (self.fleet.table.of(k).get(origin) or (0,))[0]] for k, origin, _ in wants]
+            self.tell_versions(sender, part, mine, False)
--- /dev/null
+++ b/rushweir/fleet/frame.py
@@ -0,0 +1,110 @@
+"""Datagrams between members: authenticated, for one process from one process, taken once. No I/O.
+
+    version 1 | kind 1 | sender 8 | receiver 8 | serial 4 | body (msgpack, one array) | tag 16
+
+Sender and receiver are the random numbers that processes draw when they start, so what was recorded for one process
+is worthless for its successor. The serial grows with each datagram of its sender; a receiver takes each once and none
+that lags by more than ``WINDOW`` (as in RFC 6479), so that no clocks have to agree. The tag is a keyed BLAKE2s over
+all before it. Only a JOIN may come without a receiver: it is answered and changes nothing else.
+
+The first byte tells these from the messages of the quotas (peers/datagram.py), which share the socket.
+"""
+
+from __future__ import annotations
+
+from collections import Counter, OrderedDict
+from hashlib import blake2s
+from hmac import compare_digest
+from struct import Struct
+from typing import Any
+
+import msgpack
+
+MOST_BYTES = 256
+VERSION = 2
+HEAD = Struct(">BBQQI")
+TAG = 16
+MOST_BODY = MOST_BYTES - HEAD.size - TAG
+WINDOW = 1024  # serials of one sender that may overtake each other: more than a minute of its messages
+ANYBODY = 0  # as receiver of a JOIN
+
+JOIN, WELCOME, PING, ACK, PING_FOR, ACK_FOR = 1, 2, 3, 4, 5, 6
+DIGEST, VERSIONS, ROWS = 7, 8, 9
+PREPARE, PROMISE, PROPOSE, ACCEPT = 16, 17, 18, 19
+VIEW_PUT, VIEW_ACK, VIEW_WANT, VIEW_PAGE = 20, 21, 22, 23
+SEAT_ASK, SEAT_NO, SEAT_FREE, SEAT_FREED, RELEASE = 24, 25, 26, 27, 28
+APP = 32
+
+
+class Frames:
+    """One process's side. ``counts`` tells what was dropped, and why."""
+
+    def __init__(self, me: int, key: bytes, most_senders: int) -> None:
+        """``most_senders``: windows remembered; of more senders, those that were silent longest are forgotten."""
+        if len(key) < 16:
+            raise ValueError("peer key: 16 bytes at least")
+        self.me, self.most = me, most_senders
+        self.key = blake2s(key).digest()
+        self.serial = 0
+        self.windows: OrderedDict[int, tuple[int, int]] = OrderedDict()  # highest serial, and a bit for each below
+        self.counts: Counter[str] = Counter()
+
+    def pack(self, kind: int, to: int, body: Any) -> bytes:
+        """Raises ValueError where the body does not fit: those that write bodies measure them."""
+        self.serial += 1
+        packed = msgpack.packb(body)
+        if len(packed) > MOST_BODY:
+            raise ValueError(f"a body of {len(packed)} bytes, {MOST_BODY} at most")
+        message = HEAD.pack(VERSION, kind, self.me, to, self.serial & 0xFFFFFFFF) + packed
+        self.counts["sent"] += 1
+        return message + blake2s(message, key=self.key, digest_size=TAG).digest()
+
+    def unpack(self, data: bytes) -> tuple[int, int, list] | None:
+        """Kind, sender and body; None where the datagram is not to be believed."""
+        if not HEAD.size + TAG < len(data) <= MOST_BYTES:
+            return self._drop("length")
+        message, tag = data[:-TAG], data[-TAG:]
+        version, kind, sender, receiver, serial = HEAD.unpack_from(message)
+        if version != VERSION:
+            return self._drop("version")
+        # The tag is judged before anything that a stranger could learn from or make this side remember.
+        if not compare_digest(tag, blake2s(message, key=self.key, digest_size=TAG).digest()):
+            return self._drop("stranger")
+        if sender in (self.me, ANYBODY):
+            return self._drop("own")
+        if receiver != self.me and not (receiver == ANYBODY and kind == JOIN):
+            return self._drop("other_receiver")
+        if receiver == self.me and not self._fresh(sender, serial):
+            return self._drop("replay")
+        try:
+            body = msgpack.unpackb(message[HEAD.size :], strict_map_key=False)
+        except (ValueError, msgpack.UnpackException):
+            return self._drop("body")
+        if not isinstance(body, list):
+            return self._drop("body")
+        self.counts["received"] += 1
+        return kind, sender, body
+
+    def _fresh(self, sender: int, serial: int) -> bool:
+        high, seen = self.windows.get(sender, (0, 0))
+        if serial > high:
+            seen = (seen << min(serial - high, WINDOW) | 1) & ((1 << WINDOW) - 1)
+            high = serial
+        else:
+            bit = 1 << (high - serial)
+            if high - serial >= WINDOW or seen & bit:
+                return False
+            seen |= bit
+        self.windows[sender] = high, seen
+        self.windows.move_to_end(sender)
+        if len(self.windows) > self.most:
+            self.windows.popitem(last=False)
+        return True
+
+    def renew(self, me: int) -> None:
+        """Go on under another number, as a process that starts anew would."""
+        self.me, self.serial = me, 0
+        self.windows.clear()
+
+    def _drop(self, why: str) -> None:
+        self.counts[f"dropped_{why}"] += 1
--- /dev/null
+++ b/rushweir/fleet/status.py
@@ -0,0 +1,35 @@
+"""How one member sees its fleet, for operators: plain rows. No I/O."""
+
+from __future__ import annotations
+
+from math import inf
+from typing import TYPE_CHECKING, Any
+
+from rushweir.fleet.members import NAMES
+from rushweir.fleet.views import STATES
+
+if TYPE_CHECKING:
+    from rushweir.fleet.core import Fleet
+
+
+def status(fleet: Fleet) -> dict[str, Any]:
+    """How this member sees the fleet."""
+    age = fleet.age()
+    return {
+        "id": f"{fleet.me:016x}", "number": fleet.seat(), "view": fleet.view.number,
+        "view_age_ms": None if age == inf else round(age), "current": fleet.current(),
+        "confirmed_by": list(fleet.confirmed), "chair": fleet.in_chair(), "refused": fleet.refused,
+        "members": [
+            {
+                "id": f"{m.id:016x}", "address": "{}:{}".format(*m.address), "zone": m.zone,
+                "state": NAMES[m.state],
+                "incarnation": m.incarnation, "number": fleet.view.number_of(m.id),
+            }
+            for m in sorted(fleet.members.known.values(), key=lambda m: m.address)
+        ],
+        "seats": [
+            {"number": n, "address": "{}:{}".format(*s.address), "state": STATES[s.state]}
+            for n, s in sorted(fleet.view.seats.items())
+        ],
+        "counts": dict(fleet.counts) | {f"frames_{k}": v for k, v in fleet.frames.counts.items()},
+    }  # fmt: skip
--- a/rushweir/ingress/commands.py
+++ b/rushweir/ingress/commands.py
@@ -173,14 +173,49 @@
     data: bytes
 
 
+@dataclass(slots=True)
+class SendTo:
+    """A datagram to where a member of the fleet said that it is."""
+
+    address: tuple[str, int]
+    data: bytes
+
+
+@dataclass(slots=True)
+class SaveFile:
+    """Keep a file in the state folder, then tell ``file_saved`` its serial."""
+
+    name: str
+    serial: int
+    data: bytes
+
+
+@dataclass(slots=True)
+class Peers:
+    """Where the ingresses are from now on, by their numbers."""
+
+    addresses: dict[int, tuple[str, int]]
+
+
+@dataclass(slots=True)
+class EndProcess:
+    """This process may not go on."""
+
+    why: str
+
+
 Command = (
     SendAttempt | CancelAttempt | ExpireAttempt | Answer | TellPeer | CallCounter | ProbeNode
     | WatchList | FetchList | Remark
 )  # fmt: skip
-Order = Dial | Write | CloseConn | AbortConn | PauseReading | Datagram | SaveList | Remark
+Order = (
+    Dial | Write | CloseConn | AbortConn | PauseReading | Datagram | SaveList | SendTo | SaveFile | Peers
+    | EndProcess | Remark
+)  # fmt: skip
 
 __all__ = [
     "AbortConn", "Answer", "Attempt", "CallCounter", "CancelAttempt", "CloseConn", "Command", "Datagram",
-    "Dial", "Ended", "ExpireAttempt", "FetchList", "Kind", "Order", "PauseReading", "ProbeEnded", "ProbeNode",
-    "Remark", "SaveList", "SendAttempt", "TellPeer", "WatchList", "Write",
+    "Dial", "EndProcess", "Ended", "ExpireAttempt", "FetchList", "Kind", "Order", "PauseReading", "Peers",
+    "ProbeEnded", "ProbeNode", "Remark", "SaveFile", "SaveList", "SendAttempt", "SendTo", "TellPeer", "WatchList",
+    "Write",
 ]  # fmt: skip
--- a/rushweir/ingress/core.py
+++ b/rushweir/ingress/core.py
@@ -46,6 +46,7 @@
         self.clients, self.nodes = Clients(self), Listed(self)
         self.parts = parts = setup.parts(self)
         self.pool, self.list, self.counter, self.peers = parts.pool, parts.list, parts.counter, parts.peers
+        self.fleet = parts.fleet
         self.overload = Overload(setup.late_ms, setup.most_late_ms)
         self._value_classes()
         self.carry = {
@@ -73,6 +74,8 @@
         for service in (self.list, self.counter):
             if service is not None:
                 service.link.start(now)
+        if self.fleet is not None:
+            self.fleet.start(self)
         self._run()
 
     def begin_with(self, now: float, update: Update) -> None:
@@ -81,10 +84,14 @@
         self.nodes.take(update)
 
     def next_at(self) -> float | None:
-        return self.engine.next_at()
+        at = self.engine.next_at()
+        other = self.fleet.fleet.next_at() if self.fleet is not None else None
+        return at if other is None else other if at is None else min(at, other)
 
     def advance(self, now: float) -> None:
         self._at(now)
+        if self.fleet is not None:
+            self.fleet.fleet.advance(now)
         self.engine.advance(now)
         self._run()
 
@@ -177,7 +184,10 @@
     def datagram(self, now: float, data: bytes, address: tuple[str, int] | None = None) -> None:
         """A datagram came, from that address."""
         self._at(now)
-        if self.peers is not None:
+        if self.fleet is not None and self.fleet.mine(data):
+            self.fleet.fleet.datagram(now, data)
+            self._run()
+        elif self.peers is not None:
             told = self.peers.unpack(now, data, address)
             if told is not None:
                 self.engine.peer_message(now, *told)
@@ -193,6 +203,14 @@
                 data = self.peers.pack(self.now, to, command.text)
                 if data is not None:
                     self.orders.append(c.Datagram(to, data))
+                    if self.fleet is not None:
+                        self.fleet.fleet.mail()
+
+    def file_saved(self, now: float, serial: int) -> None:
+        """A SaveFile order was carried out."""
+        self._at(now)
+        self.fleet.fleet.kept(now, serial)
+        self._run()
 
     def _call_counter(self, command: c.CallCounter) -> None:
         if self.counter is None:
@@ -271,6 +289,8 @@
             if part.out:
                 self.orders.extend(part.out)
                 part.out.clear()
+        if self.fleet is not None and self.fleet.fleet.orders:
+            self.fleet.carry(self)
         if source is not None and source.remarks:
             for remark in source.remarks:
                 self.remark(remark)
@@ -308,6 +328,8 @@
         and served until then, by ``settings``. Nothing more is kept on disk: that is the successor's."""
         self._at(now)
         self.moving = True
+        if self.fleet is not None:
+            self.fleet.hand_over(now)
         self.engine.adopt(now, settings, self.setup.margin_ms)
         for client in list(self.clients.open.values()):
             self.clients.leave_if_idle(client)
--- a/rushweir/ingress/setup.py
+++ b/rushweir/ingress/setup.py
@@ -17,14 +17,15 @@
 
 @dataclass(slots=True)
 class Parts:
-    """What speaks with the outside. ``front`` makes the state of a client's new connection; ``list``, ``counter``
-    and ``peers`` may be missing."""
+    """What speaks with the outside. ``front`` makes the state of a client's new connection; ``list``, ``counter``,
+    ``peers`` and ``fleet`` may be missing."""
 
     front: Callable[[], Any]
     pool: Any
     list: Any = None
     counter: Any = None
     peers: Any = None
+    fleet: Any = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/rushweir/ingress/shell.py
+++ b/rushweir/ingress/shell.py
@@ -56,17 +56,19 @@
         clock: Callable[[], float],
         *,
         peers: dict[int, tuple[str, int]] | None = None,
-        list_file: Path | None = None,
+        folder: Path | None = None,
+        end: Callable[[str], None] | None = None,
         remark: Callable[[c.Remark], None] | None = None,
         high_water: int = HIGH_WATER,
         accept_at_once: int = BACKLOG,
     ) -> None:
-        """``remark`` gets the lines for the log; a connection with more than ``high_water`` bytes unsent is
+        """``folder`` keeps what outlives this process; ``end`` is told why it may not go on. ``remark`` gets the
+        lines for the log; a connection with more than ``high_water`` bytes unsent is
         reported as congested. ``accept_at_once``: connections taken in one turn of the loop, so that a crowd
         does not pass the bound on descriptors before the core has seen any of it."""
         self.high_water, self.accept_at_once = high_water, accept_at_once
         self.core, self.clock, self.peers = core, clock, peers or {}
-        self.list_file = list_file
+        self.folder, self.list_file = folder, folder / "list.json" if folder is not None else None
         self.loop = asyncio.get_running_loop()
         self.transports: dict[int, asyncio.Transport] = {}
         self.tasks: set[asyncio.Task] = set()  # dials
@@ -86,6 +88,10 @@
             c.PauseReading: self._pause,
             c.Datagram: self._datagram,
             c.SaveList: self._save,
+            c.SendTo: self._send_to,
+            c.SaveFile: self._save_file,
+            c.Peers: self._peers,
+            c.EndProcess: lambda order: end(order.why) if end is not None else None,
             c.Remark: remark or (lambda _: None),
         }
 
@@ -157,9 +163,19 @@
             if not any(t.get_write_buffer_size() for t in self.transports.values()):
                 break
             await asyncio.sleep(0.01)
+        await self._leave_fleet()
         await self.kill()
         return answered
 
+    async def _leave_fleet(self) -> None:
+        """Give the number back before the socket closes; after a few tries without an answer it is over as well."""
+        if self.core.fleet is not None:
+            self.core.fleet.leave(self.clock())
+            self.carry_out()
+            while not self.core.fleet.left():
+                await asyncio.sleep(0.01)
+            self.carry_out()
+
     async def _stop_accepting(self) -> None:
         """Close the listening sockets, once what was accepted has its protocol: the loop makes it in a task of its
         own, which fails when the server is closed by then, and the client's connection would be open and dead."""
@@ -273,6 +289,28 @@
         if self.udp is not None and address is not None and not self.udp.is_closing():
             self.udp.sendto(order.data, address)
 
+    def _send_to(self, order: c.SendTo) -> None:
+        if self.udp is not None and not self.udp.is_closing():
+            self.udp.sendto(order.data, order.address)
+
+    def _peers(self, order: c.Peers) -> None:
+        self.peers = order.addresses
+
+    def _save_file(self, order: c.SaveFile) -> None:
+        assert self.folder is not None  # only what has one asks for it
+        task = self.loop.create_task(self._write_file(self.folder / order.name, order))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def _write_file(self, path: Path, order: c.SaveFile) -> None:
+        try:
+            await asyncio.to_thread(replace_file, path, order.data)
+        except OSError as problem:
+            self.core.tell(self.clock(), "error", "file_not_kept", file=order.name, why=str(problem))
+        else:
+            self.core.file_saved(self.clock(), order.serial)
+        self.carry_out()
+
     def _save(self, order: c.SaveList) -> None:
         """Keep the list, off the event loop; of several that come meanwhile only the last is written."""
         self.saving = order.data
--- a/rushweir/ingress/websocket.py
+++ b/rushweir/ingress/websocket.py
@@ -9,6 +9,7 @@
 from rushweir.fronts.credentials import Credentials
 from rushweir.fronts.websocket import ClientConnection, FrontSettings
 from rushweir.ingress import core as base
+from rushweir.ingress.membership import Membership
 from rushweir.nodes.pool import Pool, PoolSettings
 from rushweir.peers.datagram import Peers
 
@@ -21,6 +22,7 @@
     peer_key: bytes | None = None
     list_url: str = ""
     counter_url: str = ""
+    fleet: Membership | None = None
 
     def parts(self, core: base.Core) -> base.Parts:
         s, at = self.settings, core.engine.at
@@ -37,6 +39,7 @@
             )
         if self.peer_key:
             made.peers = Peers(s.me, s.gateways, self.peer_key)
+        made.fleet = self.fleet
         return made
 
     def adopt(self, core: base.Core) -> None:
--- a/rushweir/lab/checker.py
+++ b/rushweir/lab/checker.py
@@ -21,6 +21,7 @@
 
 TRANSIT_MS = 60.0  # between a step of an ingress and its record at a node, on a busy machine
 ANSWER_MS = 0.0  # beyond the stated slack of answers: none, the ingress has to leave room for the way
+RESUMED_MS = 500.0  # for all that waited while an ingress was stopped
 CEILING_MS = 60.0  # of the ceiling's rate: arrivals bunch by so much on the way to the nodes
 FALL_SLACK = 1.05
 RULES = {
@@ -115,13 +116,19 @@
 
 
 def _answers(records: list[Record], facts: Record, tries: dict[str, Try], verdict: Verdict) -> None:
-    """Rule 1. A request is excused only where its client left, or its ingress was killed with it open."""
+    """Rule 1. A request is excused only where its client left, or its ingress was killed with it open. Of an ingress
+    that was stopped as it stood, nothing is due before it goes on, and then at once."""
     killed = defaultdict(list)
+    pauses: dict[int, list[list[float]]] = defaultdict(list)
     left: dict[int, float] = {}
     opened: dict[int, float] = {}
     for r in records:
         if r["e"] == "killed":
             killed[r["ingress"]].append(r["t"])
+        elif r["e"] == "paused":
+            pauses[r["ingress"]].append([r["t"], r["t"]])
+        elif r["e"] == "continued":
+            pauses[r["ingress"]][-1][1] = r["t"]
         elif r["e"] == "open":
             opened[r["client"]] = r["t"]
         elif r["e"] == "leave":
@@ -138,6 +145,9 @@
         cls = facts["classes"].get(ask["cls"])
         within = min(ask["within"] or 1e12, cls["deadline"]) if cls else ask["within"] or 3000.0
         due = ask["t"] + within + slack
+        for began, ended in pauses[ask["ingress"]]:
+            if began <= due and ask["t"] <= ended:
+                due = max(due, ended + RESUMED_MS)
         if len(t.answers) > 1:
             verdict.add(1, t.answers[1]["t"], f"{t.tag}: {len(t.answers)} answers")
         elif t.answers:
--- a/rushweir/lab/day.py
+++ b/rushweir/lab/day.py
@@ -35,8 +35,15 @@
     "crash": ("ingress", "<whole>*"),
     "roll": ("ingress", "<whole>*"),
     "storm": ("partner", "<name>*"),
+    "pause": ("ingress", "<whole>*"),
+    "join": ("ingress", "<whole>*"),
+    "retire": ("ingress", "<whole>*"),
+    "apart": ("ingress", "<whole>*"),
+    "unheard": ("ingress", "<whole>*"),
+    "deaf": ("ingress", "<whole>*"),
     "shift": ("partner", "<name>*"),
     "lossy": ("peers",),
+    "noisy": ("peers",),
     "break": ("list",),
 }
 
@@ -101,6 +108,10 @@
     seed: int = 1
     rooms: tuple[str, ...] = ("room-a", "room-b", "room-c")
     ingress_rooms: tuple[str, ...] = ("room-a", "room-b", "room-c")
+    started: int = 0  # ingresses at the start, of the places for them; 0: all
+    fleet: int = 0  # seeds of the fleet, which gives the numbers; 0: none, and places are numbers
+    fleet_term: float = 5_000.0
+    fleet_keep: float = 15_000.0
     nodes: list[DayNode] = field(default_factory=list)
     classes: list[DayClass] = field(default_factory=list)
     plans: list[DayPlan] = field(default_factory=list)
@@ -168,7 +179,7 @@
         except ValueError as problem:
             problems.append(Problem(d.spot, f"{d.name}: expected {problem}"))
     for t, spot in ((t, Spot(name, 1, 1)) for t in day.troubles):
-        if t.what in ("crash", "roll") and any(k >= day.ingresses for k in t.on):
+        if TROUBLES[t.what][0] == "ingress" and any(k >= day.ingresses for k in t.on):
             problems.append(Problem(spot, f"{t.what}: there are {day.ingresses} ingresses"))
         if TROUBLES[t.what][0] == "node" and any(k >= len(day.nodes) for k in t.on):
             problems.append(Problem(spot, f"{t.what}: there are {len(day.nodes)} nodes"))
@@ -180,7 +191,8 @@
 
 
 _WORDS = {
-    "length": duration, "seed": whole, "load": number, "retries": whole, "backoff": duration, "honour": number,
+    "length": duration, "seed": whole, "fleet": whole, "started": whole, "fleet-term": duration,
+    "fleet-keep": duration, "load": number, "retries": whole, "backoff": duration, "honour": number,
     "try-share": number, "calm": number, "full": number, "heavy": number, "swing": number, "list-late": duration,
     "peer-delay": duration, "peer-loss": number, "meter": duration, "meter-late": duration, "key-window": duration,
 }  # fmt: skip
--- a/rushweir/lab/standins/relay.py
+++ b/rushweir/lab/standins/relay.py
@@ -5,6 +5,8 @@
 import asyncio
 import random
 
+LATE_S = (0.02, 0.4)  # of a datagram that is overtaken
+
 
 class PeerNet:
     """One relay port for each ingress; what comes to port k goes on to ingress k."""
@@ -15,8 +17,9 @@
         self.real: dict[int, tuple[str, int]] = {}  # where each ingress really listens
         self.by_address: dict[tuple[str, int], int] = {}
         self.cut: set[str] = set()  # rooms cut off from the others
-        self.extra_loss = 0.0
-        self.doubled = 0.0
+        self.pairs: set[tuple[int, int]] = set()  # whose messages, from one to the other, don't arrive
+        self.extra_loss = self.doubled = 0.0
+        self.spoilt = self.overtaken = 0.0  # shares in which a bit is another, or that take far longer
         self.carried = self.dropped = 0
         self.count = count
 
@@ -41,11 +44,17 @@
         apart = sender is not None and self.rooms[sender] != self.rooms[to] and (
             self.rooms[sender] in self.cut or self.rooms[to] in self.cut
         )  # fmt: skip
+        apart = apart or (sender, to) in self.pairs
         if apart or to not in self.real or self.rng.random() < self.loss + self.extra_loss:
             self.dropped += 1
             return
         for _ in range(1 + (self.rng.random() < self.doubled)):
             pause = self.delay * self.rng.uniform(0.6, 1.6) / 1000
+            if self.rng.random() < self.overtaken:
+                pause += self.rng.uniform(*LATE_S)
+            if self.rng.random() < self.spoilt:
+                k = self.rng.randrange(len(data))
+                data = data[:k] + bytes([data[k] ^ 1 << self.rng.randrange(8)]) + data[k + 1 :]
             asyncio.get_running_loop().call_later(pause, self._pass, to, data, source)
 
     def _pass(self, to: int, data: bytes, source: tuple[str, int]) -> None:
--- /dev/null
+++ b/tests/fleet/test_views.py
@@ -0,0 +1,119 @@
+"""Who gets which number, and who decides: pure functions and votes."""
+
+from __future__ import annotations
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from rushweir.fleet.chair import Vote
+from rushweir.fleet.drift import DRIFT, longest, shortest
+from rushweir.fleet.seating import KeptError, Pages, applied, changed, dump, load
+from rushweir.fleet.views import LOST, SEATED, Seat, View, Wish, allot, next_number, seat
+
+MOST = 6
+
+
+def place(k: int):
+    return f"10.0.0.{k}", 7946
+
+
+HOLDERS = st.tuples(st.integers(1, 9), st.sampled_from([SEATED, LOST]))
+SEATS = st.dictionaries(st.integers(0, MOST - 1), HOLDERS, max_size=6)
+seats_of = lambda d: {n: Seat(i * 100 + n, place(i * 10 + n), s) for n, (i, s) in d.items()}  # noqa: E731
+WISHES = st.lists(st.tuples(st.integers(1, 60), st.integers(1, 60), st.integers(-1, MOST)), max_size=8)
+
+
+@settings(max_examples=300, deadline=None)
+@given(SEATS, WISHES, st.sets(st.integers(0, MOST - 1)), st.sets(st.integers(0, MOST - 1)), st.integers(1, 20))
+def test_seats_are_each_given_once_and_lost_ones_to_nobody(given_, wishes, left, freed, changes):
+    seats = seats_of(given_)
+    gone = {seats[n].id for n in left if n in seats}
+    asked = list({i: Wish(i, place(a), n) for i, a, n in wishes}.values())
+    new, refused = allot(seats, MOST, asked, gone, [], freed, changes)
+    ids, addresses = [s.id for s in new.values()], [s.address for s in new.values()]
+    assert len(set(ids)) == len(ids) and len(set(addresses)) == len(addresses)
+    many = len(changed(View(0, seats), View(0, new))) >= changes  # the rest waits for the next view
+    assert all(0 <= n < MOST for n in new) and (many or not gone & set(ids))
+    for n, s in seats.items():
+        if s.state == LOST and n not in freed and s.id not in gone and n in new:
+            assert new[n] == s or new[n].address == s.address or new[n].id == s.id
+    for w in asked:
+        if w.number >= MOST and w.id not in gone:
+            assert many or w.id in refused or w.id in ids
+
+
+def test_a_successor_at_the_same_address_takes_the_number_over():
+    seats = {2: Seat(5, place(1), LOST)}
+    new, refused = allot(seats, MOST, [Wish(6, place(1))], [], [], [], 9)
+    assert new == {2: Seat(6, place(1))} and not refused
+
+
+def test_a_silent_one_keeps_its_number_until_it_is_freed():
+    seats = {0: Seat(5, place(1))}
+    lost, _ = allot(seats, 1, [Wish(6, place(2))], [], [5], [], 9)
+    assert lost == {0: Seat(5, place(1), LOST)}
+    same, refused = allot(lost, 1, [Wish(6, place(2))], [], [5], [], 9)
+    assert same == lost and "taken" in refused[6]
+    assert allot(lost, 1, [Wish(6, place(2))], [], [5], [0], 9)[0] == {0: Seat(6, place(2))}
+    assert allot(lost, 1, [Wish(5, place(1))], [], [], [], 9)[0] == {0: Seat(5, place(1))}  # it is back
+
+
+def test_a_number_that_another_has_is_refused_by_its_holder():
+    _, refused = allot({3: Seat(5, place(1))}, MOST, [Wish(6, place(2), 3), Wish(7, place(3), 9)], [], [], [], 9)
+    assert refused == {6: "number 3 is that of 10.0.0.1:7946, seated", 7: "numbers go up to 5"}
+
+
+@settings(max_examples=100, deadline=None)
+@given(SEATS, SEATS)
+def test_changes_make_one_view_into_the_other_and_files_keep_them(old, new):
+    a, b = View(8, seats_of(old)), View(16, seats_of(new))
+    assert applied(a, 16, changed(a, b)) == b and load(dump(b)) == b
+    assert applied(View(), 16, changed(View(), b)).digest() == b.digest()
+
+
+def test_numbers_of_views_are_never_shared_by_seeds():
+    first, second = next_number(0, 0), next_number(0, 1)
+    assert first != second and next_number(second, 0) > second > 0 and next_number(next_number(first, 2), 0) > first
+
+
+def test_a_file_that_is_torn_or_altered_is_refused():
+    data = dump(View(9, {1: Seat(5, place(1))}))
+    for bad in (b"", data[:-2], b"\x93\x01\x02\x90\x00", b"\x93\x02" + data[2:], b"text"):
+        try:
+            load(bad)
+        except KeptError:
+            continue
+        raise AssertionError(bad)
+
+
+def test_a_seat_that_is_none():
+    assert seat(b"") is None and seat(b"\x94\x01\x02\x03\x04") is None and seat(b"nonsense") is None
+
+
+def test_pages_come_in_any_order_and_of_one_view_only():
+    p = Pages()
+    assert p.take(8, 1, 3, ["b"]) is None and p.take(8, 2, 3, ["c"]) is None
+    assert p.take(16, 0, 1, ["x"]) == ["x"]
+    assert p.take(8, 0, 3, ["a"]) is None and p.take(8, 1, 3, ["b"]) is None
+    assert p.take(8, 2, 3, ["c"]) == ["a", "b", "c"]
+    assert p.take(8, 5, 3, []) is None
+
+
+def test_a_vote_is_given_to_one_at_a_time_and_to_nobody_after_a_start():
+    v = Vote(0.0, 3000.0)
+    assert v.prepare(3000.0, 8) is None and v.propose(10.0, 8, 5) is None
+    now = longest(3000.0) + 1
+    assert v.prepare(now, 8) == (True, 0) and v.propose(now, 8, 5) is True
+    assert v.prepare(now, 17) == (True, 5)  # 17 learns who has it, and may not go on
+    assert v.prepare(now, 16) == (False, 0) and v.propose(now, 8, 6) is False
+    assert v.prepare(now + 3000.0, 24) == (True, 0)
+    assert v.propose(now + 3000.0, 24, 6) is True and v.given(now + 5000.0) == 6
+    v.release(5)
+    assert v.given(now + 5000.0) == 6
+    v.release(6)
+    assert v.given(now + 5000.0) == 0
+
+
+def test_a_right_is_over_where_it_was_given_to_before_it_is_over_where_it_came_from():
+    for slow, fast in ((1 - DRIFT, 1 + DRIFT), (1 + DRIFT, 1 - DRIFT)):
+        assert shortest(1000.0) / slow <= 1000.0 / fast + 1e-9 and longest(1000.0) / fast >= 1000.0 / slow - 1e-9
--- a/tests/ingress/conftest.py
+++ b/tests/ingress/conftest.py
@@ -77,7 +77,7 @@
         )  # fmt: skip
         policy = self.policy or Policy(self.settings, 7, clock())
         core = Core(setup, policy, clock())
-        self.shell = Shell(core, clock, list_file=self.tmp / "list.json")
+        self.shell = Shell(core, clock, folder=self.tmp)
         port = await self.shell.serve("127.0.0.1", port)
         self.url = f"ws://127.0.0.1:{port}/dispatch"
         if ready is None:
