--- a/rushweir/ingress/shell.py
+++ b/rushweir/ingress/shell.py
@@ -20,6 +20,7 @@
 from rushweir.files import replace_file
 from rushweir.ingress import commands as c
 from rushweir.ingress.core import Core
+from rushweir.ingress.transports import Connection, Datagrams, Sender
 
 HIGH_WATER = 65_536  # bytes that wait in a transport before the connection counts as congested
 READ_SIZE = 65_536
@@ -76,7 +77,7 @@
         self.timer: asyncio.TimerHandle | None = None
         self.timer_at = 0.0
         self.server: asyncio.Server | None = None
-        self.udp: asyncio.DatagramTransport | None = None
+        self.udp: asyncio.DatagramTransport | Sender | None = None
         self.saving: bytes | None = None
         self.saver: asyncio.Task | None = None
         self.carrying = self.dead = False
@@ -103,10 +104,10 @@
     ) -> int:  # fmt: skip
         """Open the sockets, or go on with those given, and start; returns the port that clients connect to."""
         if peer_socket is not None:
-            self.udp, _ = await self.loop.create_datagram_endpoint(lambda: _Datagrams(self), sock=peer_socket)
+            self.udp, _ = await self.loop.create_datagram_endpoint(lambda: Datagrams(self), sock=peer_socket)
         elif peer_address is not None:
             self.udp, _ = await self.loop.create_datagram_endpoint(
-                lambda: _Datagrams(self), local_addr=peer_address
+                lambda: Datagrams(self), local_addr=peer_address
             )
         last = None
         if self.list_file is not None:
@@ -116,7 +117,7 @@
         self.carry_out()
         where = {"sock": listening} if listening is not None else {"host": host, "port": port}
         backlog = self.accept_at_once
-        self.server = await self.loop.create_server(lambda: _Connection(self), backlog=backlog, **where)
+        self.server = await self.loop.create_server(lambda: Connection(self), backlog=backlog, **where)
         if backlog < BACKLOG and listening is not None:
             listening.listen(BACKLOG)  # what waits costs no descriptor; the loop made the queue as short as its turns
         return self.server.sockets[0].getsockname()[1]
@@ -140,7 +141,9 @@
         await self._stop_accepting()
         if self.udp is not None:
             # Both would read from one queue, and each would miss what the other took; sending goes on by then.
-            self.loop.remove_reader(self.udp.get_extra_info("socket").fileno())
+            sender = Sender(self.udp.get_extra_info("socket"))
+            self.udp.close()
+            self.udp = sender
         self.core.leave(self.clock(), settings)
         self.carry_out()
         end = self.loop.time() + within_ms / 1000
@@ -253,7 +256,7 @@
     async def _connect(self, order: c.Dial) -> None:
         try:
             async with asyncio.timeout(order.timeout_ms / 1000):
-                await self.loop.create_connection(lambda: _Connection(self, order.conn), order.host, order.port)
+                await self.loop.create_connection(lambda: Connection(self, order.conn), order.host, order.port)
         except (OSError, TimeoutError):
             self.core.dial_failed(self.clock(), order.conn)
             self.carry_out()
@@ -328,65 +331,3 @@
                 self.core.tell(self.clock(), "error", "list_not_kept", why=str(problem))
                 self.carry_out()
         self.saver = None
-
-
-class _Connection(asyncio.BufferedProtocol):
-    """One connection, of a client (``conn`` is None until it is made) or dialed. Its calls come straight from
-    the event loop's reading: with streams, a task's wake-up lay between each read and the core."""
-
-    def __init__(self, shell: Shell, conn: int | None = None) -> None:
-        self.shell, self.conn, self.ended = shell, conn, False
-
-    def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
-        shell = self.shell
-        transport.set_write_buffer_limits(high=shell.high_water)
-        if self.conn is None:
-            where = transport.get_extra_info("peername") or ("",)
-            self.conn = shell.core.accepted(shell.clock(), where[0])
-            shell.transports[self.conn] = transport
-        elif self.conn in shell.core.ups:
-            shell.transports[self.conn] = transport
-            shell.core.dialed(shell.clock(), self.conn)
-        else:  # given up meanwhile
-            transport.abort()
-        shell.carry_out()
-
-    def get_buffer(self, sizehint: int) -> memoryview:
-        return self.shell.buffer
-
-    def buffer_updated(self, count: int) -> None:
-        # An update of the list counts from the clock taken here.
-        shell = self.shell
-        shell.core.received(shell.clock(), self.conn, bytes(shell.buffer[:count]))
-        shell.carry_out()
-
-    def eof_received(self) -> bool:
-        self._end()
-        return False  # what waits to be written still goes out, then the transport closes
-
-    def connection_lost(self, problem: Exception | None) -> None:
-        self._end()
-
-    def _end(self) -> None:
-        if not self.ended:
-            self.ended, shell = True, self.shell
-            shell.transports.pop(self.conn, None)
-            shell.core.ended(shell.clock(), self.conn)
-            shell.carry_out()
-
-    def resume_writing(self) -> None:
-        if not self.ended:
-            self.shell.core.drained(self.shell.clock(), self.conn)
-            self.shell.carry_out()
-
-
-class _Datagrams(asyncio.DatagramProtocol):
-    def __init__(self, shell: Shell) -> None:
-        self.shell = shell
-
-    def datagram_received(self, data: bytes, address: tuple) -> None:
-        self.shell.core.datagram(self.shell.clock(), data, address[:2])
-        self.shell.carry_out()
-
-    def error_received(self, error: OSError) -> None:
-        """A peer that is down answers with an ICMP error; that it is down shows in its silence."""
