Ceilings shared by a fleet: parts lent from one home, never more than the whole

Change: rushweir/budgets/ without I/O or clock. A budget has a home (rendezvous among the numbers of the view in force); holders ask it while there is demand, and spend by their own clock, counted from the question; a number owns a floor; a new home waits for all that may be lent, or is handed the ledger. Off in run and sim, by import contracts.

--- /dev/null
+++ b/rushweir/budgets/home.py
@@ -0,0 +1,167 @@
+"""The home of one budget: who holds how much of it, and what is free. No I/O, no clock.
+
+What a holder may spend counts here until it surely can't any more: until the holder says that it took a later grant,
+or until the time of the grant is over, counted from the answer, which is later than the question that the holder
+counts from, and with the drift of both clocks. Of two grants that a holder may have taken, the larger counts. So what
+all holders may spend is never more than the whole, however messages are lost, doubled or late.
+
+Tokens move with the parts. What nobody holds fills a reserve here, and so does what spilled over at a holder whose
+bucket was full, as it tells with its next question; who demands more than its part gets of the reserve along with
+each answer. What was in a bucket that is taken back, or whose holder fell silent, counts as spent.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field, replace
+from math import isqrt
+
+from rushweir.budgets.division import divide, settled, split
+from rushweir.budgets.records import NOTHING, UNIT, Part, Whole
+from rushweir.fleet.drift import longest, shortest
+
+UNKNOWN = Whole(2**62, 2**62)  # of a holder that a predecessor knew: what it was told of the whole is not handed on
+RESERVE_PART = 0.25  # of what may be lent is kept for the reserve to have room
+ADD_PART = 0.5  # of the reserve goes with one grant: others will ask
+MOST_GRANTS = 8  # of one holder that may be on their way; older ones count together
+
+
+@dataclass(slots=True)
+class Grant:
+    serial: int
+    part: Part
+    until: float
+
+
+@dataclass(slots=True)
+class Holder:
+    whole: Whole  # what may be lent, as it was told last
+    demand: int = 0
+    asked_at: float = 0.0
+    spilled: int = -1  # in all, as it told last; -1: not known, and what came before is nobody's any more
+    serial: int = 0  # of its last question
+    grants: list[Grant] = field(default_factory=list)  # that it may be acting on, by serial
+
+    def counts(self) -> Part:
+        """What it may be spending."""
+        whole = NOTHING
+        for g in self.grants:
+            whole = whole.most(g.part)
+        return whole
+
+
+class Home:
+    """The ledger of one budget."""
+
+    def __init__(self, now: float, term_ms: float, open_at: float) -> None:
+        """Nothing is lent before ``open_at``."""
+        self.whole, self.term, self.open_at = Whole(0, 0), term_ms, open_at
+        self.scope = self.whole  # as it was told last, with what numbers own: its doors say whose home moves where
+        self.holders: dict[int, Holder] = {}
+        self.reserve, self.at = 0.0, now
+        self.division: dict[int, int] = {}
+
+    def ask(
+        self, now: float, who: int, serial: int, holding: int, demand: int, whole: Whole, spilled: int = 0
+    ) -> tuple[Part, int] | None:
+        """A holder's question: it acts on the grant with the serial ``holding`` or on a later one, and demands so
+        much a second of a ``whole``, which is what may be lent, without floors that are owned. ``spilled`` is all
+        that its bucket had no room for, since it began. Its part from now on, and tokens along with it; None: not
+        open, or an old question."""
+        self.settle(now)
+        h = self.holders.setdefault(who, Holder(whole))
+        if serial <= h.serial:
+            return None
+        h.serial, h.demand, h.asked_at, h.whole = serial, demand, now, whole
+        # Settings are read anew by one process after the other: as long as any has the smaller whole, it holds.
+        told = [x.whole for x in self.holders.values()]
+        self.whole = replace(whole, rate=min(w.rate for w in told), burst=min(w.burst for w in told))
+        h.grants = [g for g in h.grants if g.serial >= holding]
+        if now < self.open_at:
+            return None
+        lent = self._lent(who)
+        part = Part(
+            min(self._share(who), max(0, self.whole.rate - lent.rate)),
+            min(self._burst(who), max(0, self.whole.burst - lent.burst)),
+        )
+        if not part.burst or not part.rate:
+            part = NOTHING
+        if len(h.grants) >= MOST_GRANTS:
+            first, second = h.grants[:2]
+            h.grants[:2] = [Grant(second.serial, first.part.most(second.part), max(first.until, second.until))]
+        h.grants.append(Grant(serial, part, now + longest(self.term)))
+        # A sum is told, not what came since: a question that is lost, or comes twice, changes nothing.
+        if h.spilled >= 0:
+            self.reserve += max(0, spilled - h.spilled)
+        h.spilled = spilled
+        # The reserve has room for less now; what it gives along is in the holder's bucket, and no longer here.
+        self.reserve = min(self.reserve, self._room().burst)
+        add = int(min(self.reserve * ADD_PART, part.burst)) if demand > part.rate else 0
+        self.reserve -= add
+        return part, add
+
+    def settle(self, now: float) -> None:
+        """Let time pass: grants end, the reserve fills by what nobody holds."""
+        room = self._room()
+        # By a clock that may run fast, and by what was free before: a grant that ended meanwhile filled elsewhere.
+        self.reserve = min(float(room.burst), self.reserve + room.rate * shortest(now - self.at) / 1000)
+        self.at = now
+        for who, h in list(self.holders.items()):
+            h.grants = [g for g in h.grants if g.until > now]
+            if not h.grants and now - h.asked_at > self.term:
+                del self.holders[who]
+
+    def _room(self) -> Part:
+        lent = self._lent(None)
+        return Part(max(0, self.whole.rate - lent.rate), max(0, self.whole.burst - lent.burst))
+
+    def _lent(self, without: int | None) -> Part:
+        whole = NOTHING
+        for who, h in self.holders.items():
+            if who != without:
+                whole += h.counts()
+        return whole
+
+    def _share(self, who: int) -> int:
+        demands = {k: h.demand for k, h in self.holders.items()}
+        new = divide(self.whole.rate, demands)
+        if not settled(new, self.division) or sum(self.division.values()) > self.whole.rate:
+            self.division = new
+        return self.division[who]
+
+    def _burst(self, who: int) -> int:
+        """A unit for each who demands anything, as far as there are units, since less serves nobody; the rest by the
+        roots of the demands, as the unevenness of arrivals grows. What the reserve needs stays here."""
+        whole = self.whole.burst - int(self.whole.burst * RESERVE_PART)
+        busy = {k: h.demand for k, h in self.holders.items() if h.demand > 0}
+        if who not in busy:
+            return 0
+        units = whole // UNIT
+        if units >= len(busy):
+            order = sorted(busy)
+            extra = split(whole - len(busy) * UNIT, [isqrt(busy[k]) + 1 for k in order])
+            return UNIT + extra[order.index(who)]
+        most = sorted(busy, key=lambda k: (-busy[k], k))[:units]
+        return UNIT if who in most else 0
+
+    # --- handing over ----------------------------------------------------------------------------
+
+    def dump(self, now: float) -> list[list[int]]:
+        """What a successor has to count, as rows: holder, serial, rate, burst, time left."""
+        self.settle(now)
+        rows = []
+        for who, h in self.holders.items():
+            left = max((g.until for g in h.grants), default=now) - now
+            rows.append([who, h.serial, *_pair(h.counts()), int(left) + 1])
+        return rows
+
+    def load(self, now: float, rows: list[list[int]]) -> None:
+        """Go on from a predecessor's ledger, at once."""
+        for who, serial, rate, burst, left in rows:
+            # Under the latest serial: whichever of the predecessor's grants it acts on, this covers it.
+            grant = Grant(serial, Part(rate, burst), now + longest(left))
+            self.holders[who] = Holder(UNKNOWN, 0, now, -1, 0, [grant] if rate or burst else [])
+        self.open_at = now
+
+
+def _pair(part: Part) -> tuple[int, int]:
+    return part.rate, part.burst
--- /dev/null
+++ b/rushweir/budgets/records.py
@@ -0,0 +1,63 @@
+"""What a budget is, and what is known of it. Plain records; amounts are thousandths, times milliseconds."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from hashlib import blake2b
+
+UNIT = 1_000
+
+
+@dataclass(frozen=True, slots=True)
+class Whole:
+    """A rate and a burst that all processes share: tokens fill at ``rate`` a second up to ``burst``."""
+
+    rate: int
+    burst: int
+    floor: float = 0.25  # of both is owned by the numbers, each its part, without asking
+    first: int = 0  # the numbers that use it: from this one on ...
+    count: int = 0  # ... so many, counted round; 0: all
+
+    @classmethod
+    def of(cls, rate: float, burst: float, floor: float = 0.25, first: int = 0, count: int = 0) -> Whole:
+        """From units a second and units; what is smaller than a thousandth is not given out."""
+        return cls(int(rate * UNIT), int(burst * UNIT), floor, first, count)
+
+    def doors(self, most: int) -> list[int]:
+        """The numbers that use it, of so many that there are."""
+        return [(self.first + k) % most for k in range(min(self.count or most, most))]
+
+
+@dataclass(frozen=True, slots=True)
+class Part:
+    """What one process may spend of a whole: a token bucket of its own."""
+
+    rate: int = 0
+    burst: int = 0
+
+    def __add__(self, other: Part) -> Part:
+        return Part(self.rate + other.rate, self.burst + other.burst)
+
+    def most(self, other: Part) -> Part:
+        """What covers either."""
+        return Part(max(self.rate, other.rate), max(self.burst, other.burst))
+
+
+NOTHING = Part()
+
+
+@dataclass(frozen=True, slots=True)
+class PartChanged:
+    """A process's part of a budget from now on: ``part`` is all it may fill by and hold; ``add`` tokens come with it.
+    What is in the bucket beyond the new burst is gone."""
+
+    name: str
+    part: Part
+    add: int = 0
+    lent_ms: float = 0.0  # for so long; then what is not ``owned`` is over by itself
+    owned: Part = NOTHING
+
+
+def key_of(name: str) -> int:
+    """A budget on the wire."""
+    return int.from_bytes(blake2b(name.encode(), digest_size=7).digest(), "big")
--- a/rushweir/config/checks.py
+++ b/rushweir/config/checks.py
@@ -58,6 +58,8 @@
     spot = spots[("fleet",)]
     if f.peers is None:
         return [Problem(spot, "fleet: needs peers, for its socket and its key")]
+    if f.fleet.rate + f.budgets.rate > f.peers.rate - 1:
+        return [Problem(spot, "fleet: its rate and that of budgets leave peers' rate nothing for the quotas")]
     out, seeds = [], [a for (a,) in f.fleet.seed]
     if len(set(seeds)) < len(seeds):
         out.append(Problem(spot, "fleet: a seed stands twice"))
--- a/rushweir/config/load.py
+++ b/rushweir/config/load.py
@@ -76,7 +76,7 @@
             return None
         return FleetSettings(
             f.fleet.advertise or f.peers.bind, tuple(a for (a,) in f.fleet.seed), f.ingress[1], f.ingress[0], f.zone,
-            view_ms=f.fleet.term, keep_ms=f.fleet.keep, per_s=f.fleet.rate,
+            view_ms=f.fleet.term, keep_ms=f.fleet.keep, per_s=f.fleet.rate, apps_per_s=f.budgets.rate,
         )  # fmt: skip
 
     def settings(self) -> i.Settings:
@@ -111,6 +111,7 @@
                 peers=f.peers is not None, messages_per_s=self._mail_per_s(),
                 counter=f.counter is not None, counter_timeout_ms=f.counter.timeout if f.counter else 0.0,
                 meter_ms=f.meter, largest_request=f.limits.largest_request, settles=f.settles,
+                lent=f.fleet is not None,
             ),
             prices={"crossZone": f.prices.cross_zone},
             weights=f.nodes.weights,
@@ -120,7 +121,8 @@
     def _mail_per_s(self) -> float:
         """Messages of the quotas: what peers take of one ingress, less what its fleet says."""
         f = self.file
-        return 0.0 if f.peers is None else max(1.0, f.peers.rate - (f.fleet.rate if f.fleet else 0.0))
+        fleet = f.fleet.rate + f.budgets.rate if f.fleet else 0.0
+        return 0.0 if f.peers is None else max(1.0, f.peers.rate - fleet)
 
     def costs(self) -> CostRules | None:
         """The prices of requests; None where none are set, and each request says itself what it counts."""
--- a/rushweir/config/models.py
+++ b/rushweir/config/models.py
@@ -157,6 +157,15 @@
         return self
 
 
+class BudgetsBlock(Block):
+    """``budgets``: how ceilings are divided among the members of a fleet."""
+
+    floor: Share = 0.25
+    term: Annotated[Duration, Field(ge=1_000.0)] = 3_000.0
+    rate: Annotated[Rate, Field(ge=5.0)] = 20.0
+    told: Switch = False  # each change of a part in the log, for whoever adds them up
+
+
 class ListBlock(Block):
     url: WebAddress
     mode: Literal["push", "ask"] = "push"
@@ -262,6 +271,7 @@
     list: ListBlock
     peers: PeersBlock | None = None
     fleet: FleetBlock | None = None
+    budgets: BudgetsBlock = BudgetsBlock()
     counter: CounterBlock | None = None
     rules: RulesBlock = RulesBlock()
     limits: LimitsBlock = LimitsBlock()
--- a/rushweir/daemon/service.py
+++ b/rushweir/daemon/service.py
@@ -86,7 +86,8 @@
     def _setup(self, config: Config) -> Any:
         made = config.setup(self.seed, self.boot + "-")
         if self.member is not None:
-            made = replace(made, fleet=Membership(self.member, config.me, config.file.ingress[0] < 0))
+            b, given = config.file.budgets, config.file.ingress[0] < 0
+            made = replace(made, fleet=Membership(self.member, config.me, given, b.term, b.floor, b.told))
         return made
 
     async def _join(self) -> bool:
--- a/rushweir/fleet/core.py
+++ b/rushweir/fleet/core.py
@@ -65,7 +65,7 @@
         self.seated_at = -inf  # and so was one in which this process has a seat
         self.number = -1
         self.pings: OrderedDict[tuple[int, int], float] = OrderedDict()
-        self.budget = Budget(settings.per_s, now)
+        self.budget, self.app_budget = Budget(settings.per_s, now), Budget(settings.apps_per_s, now)
         self.leaving = self.left = self.silent = False
         self.free_tries = 0
         self.refused = ""  # why the chair gave no seat
@@ -145,8 +145,17 @@
         self.budget.draw(self.now, count * MAIL_PART)
 
     def send_app(self, topic: int, to: int, body: list) -> None:
-        """A message of a user of the fleet, which draws on the same budget; it may be lost as any."""
-        self.send(f.APP, to, [topic, *body])
+        """A message of a user of the fleet, out of a budget of their own: members that find each other must not wait
+        for it. It may be lost as any, and is where the budget is used up."""
+        m = self.members.known.get(to)
+        if m is None:
+            return
+        if not self.app_budget.has(self.now):
+            self.counts["apps_held_back"] += 1
+            return
+        self.app_budget.draw(self.now)
+        self.counts["apps_sent"] += 1
+        self.orders.append(o.SendTo(m.address, self.frames.pack(f.APP, to, [topic, *body])))
 
     # --- the others ------------------------------------------------------------------------------
 
--- a/rushweir/fleet/seating.py
+++ b/rushweir/fleet/seating.py
@@ -35,6 +35,7 @@
 CHANGES = 16  # of one view
 PAGE = 150  # bytes of seats in a datagram
 MOST_PAGES = 2048
+PUSHED = 4  # datagrams with a view for who asked for a seat: all of a small one; of a large one the rest is compared
 FORMAT = 1
 
 
@@ -240,9 +241,12 @@
 
     def _push(self, id_: int) -> None:
         """Who asked for a seat need not wait until it hears of the view from others."""
-        n = self.fleet.view.number_of(id_)
-        rows = [self.fleet.table.row(k) for k in ((SEAT, n), (HEADING, 0)) if self.fleet.table.get(*k) is not None]
-        self.fleet.send(f.ROWS, id_, [rows])
+        table, n = self.fleet.table, self.fleet.view.number_of(id_)
+        others = sorted(k for k in table.of(SEAT) if k != n)
+        keys = [(HEADING, 0), (SEAT, n), *((SEAT, k) for k in others)]
+        rows = [table.row(k) for k in keys if table.get(*k) is not None]
+        for portion in fitting(rows, PAGE)[:PUSHED]:
+            self.fleet.send(f.ROWS, id_, [portion])
 
     def step(self, _: object = None) -> None:
         fleet, now = self.fleet, self.fleet.now
--- a/rushweir/fleet/settings.py
+++ b/rushweir/fleet/settings.py
@@ -30,6 +30,7 @@
     view_ms: float = 10_000.0  # a view may be acted on for so long after it was surely in force
     keep_ms: float = 600_000.0  # a number that fell silent is given to nobody else for so long
     per_s: float = 20.0  # datagrams of the fleet a second
+    apps_per_s: float = 20.0  # and of those that use it
 
     def __post_init__(self) -> None:
         if not 1 <= len(self.seeds) <= MOST_SEEDS or len(set(self.seeds)) < len(self.seeds):
--- a/rushweir/ingress/clients.py
+++ b/rushweir/ingress/clients.py
@@ -85,6 +85,8 @@
         for ref, ask in asked:
             partner = ask.partner or client.front.partner
             assert partner is not None
+            if self.core.fleet is not None:
+                self.core.fleet.asked(self.core, partner, ask.units)
             if self.core.overload.takes(self.core.values.get((ask.cls, partner.plan), 0.0)):
                 self.engine.request(self.core.now, client.conn, ref, partner, ask)
             else:
--- a/rushweir/ingress/core.py
+++ b/rushweir/ingress/core.py
@@ -97,6 +97,8 @@
 
     def _at(self, now: float) -> None:
         self.now = self.engine.now = self.pool.now = now
+        if self.fleet is not None:
+            self.fleet.turn(self)
         for service in (self.list, self.counter):
             if service is not None:
                 service.link.now = now
@@ -235,7 +237,8 @@
         requests are answered; who was let in by an old credential stays too."""
         self._at(now)
         self.setup = setup
-        self.engine.adopt(now, setup.settings, setup.margin_ms)
+        settings = setup.settings if self.fleet is None else self.fleet.among(setup.settings)
+        self.engine.adopt(now, settings, setup.margin_ms)
         self.overload.adopt(setup.late_ms, setup.most_late_ms)
         self._value_classes()
         self.watch.usage.know(setup.partners())
@@ -329,7 +332,7 @@
         self._at(now)
         self.moving = True
         if self.fleet is not None:
-            self.fleet.hand_over(now)
+            self.fleet.hand_over(self)
         self.engine.adopt(now, settings, self.setup.margin_ms)
         for client in list(self.clients.open.values()):
             self.clients.leave_if_idle(client)
--- a/rushweir/ingress/engine.py
+++ b/rushweir/ingress/engine.py
@@ -233,6 +233,11 @@
         self.now = now
         self._tell(i.Counted(name, result, value, spent_ms))
 
+    def part(self, now: float, part: i.Part) -> None:
+        """What this ingress may spend of a partner's ceiling is another amount."""
+        self.now = now
+        self._tell(part)
+
     def probed(
         self, now: float, server: str, result: i.Result, spent_ms: float, load: dict[str, float] | None = None
     ) -> None:
--- a/rushweir/ingress/membership.py
+++ b/rushweir/ingress/membership.py
@@ -2,32 +2,45 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import TYPE_CHECKING, Any
+from zlib import crc32
 
 import msgpack
 
+from rushweir import interface as i
+from rushweir.budgets.core import Budgets
+from rushweir.budgets.records import UNIT, Whole
 from rushweir.fleet import orders as o
 from rushweir.fleet.core import Fleet
 from rushweir.fleet.frame import VERSION
 from rushweir.fleet.status import status
+from rushweir.fleet.views import SEATED
 from rushweir.ingress import commands as c
 
 if TYPE_CHECKING:
     from rushweir.ingress.core import Core
+    from rushweir.ingress.engine import Partner
 
 FILE = "fleet"  # in the state folder: what a seed voted for
 LOAD, LOAD_BYTES = 16, 48  # an entry of each ingress: what it answered and refused, what is open
 LOOK_MS = 500.0  # how often the number is looked at
 TELL_MS, TOLD_PER_S = 2_000.0, 30.0  # own figures are told so often, in a large fleet as often as all can take
+MOST_ROWS = 50  # of budgets, in what operators see
 BOUNDS = {LOAD: LOAD_BYTES}
 
 
 class Membership:
     """One ingress in its fleet. The core passes time and datagrams on, and takes its orders."""
 
-    def __init__(self, fleet: Fleet, number: int, given: bool) -> None:
-        """``number`` is what the ingress works under; ``given``: by the fleet, not by the settings."""
-        self.fleet, self.number, self.given = fleet, number, given
+    def __init__(
+        self, fleet: Fleet, number: int, given: bool, term_ms: float, floor: float, told: bool = False
+    ) -> None:
+        """``number`` is what the ingress works under; ``given``: by the fleet, not by the settings. ``term_ms`` and
+        ``floor`` are those of the ceilings that it shares; ``told``: each change of a part goes to the log."""
+        self.fleet, self.number, self.given, self.floor, self.told = fleet, number, given, floor, told
+        self.budgets = Budgets(fleet, term_ms)
+        self.ceilings: dict[str, i.Plan] = {}  # by plan
         self.ended = False
         self.told_at = 0.0
 
@@ -36,7 +49,12 @@
         if self.fleet.next_at() is None:
             self.fleet.start(core.now)
         core.engine.at(core.now, self._look, core)
+        self.budgets.start(core.now)
+        self.budgets.spilled = lambda name: _spilled(core, name)
+        self._settings(core.setup.settings)
         self._peers(core)
+        if self.fleet.view.number:
+            self._present(core)
 
     def mine(self, data: bytes) -> bool:
         """Whether a datagram is for the fleet, not for the quotas."""
@@ -58,8 +76,54 @@
                     core.remark(c.Remark("info", "number", {"number": order.number}))
                 case o.ViewChanged():
                     self._peers(core)
+                    self._present(core)
                     core.remark(c.Remark("info", "view", {"view": self.fleet.view.number}))
 
+    # --- budgets ---------------------------------------------------------------------------------
+
+    def turn(self, core: Core) -> None:
+        """First in each turn: what is over is over before anything is decided by it."""
+        self.fleet.now = core.now
+        if core.now >= self.budgets.due:
+            self.budgets.turn(core.now)
+        self._parts(core)
+
+    def asked(self, core: Core, partner: Partner, units: float) -> None:
+        """A request came, before it is decided on."""
+        plan = self.ceilings.get(partner.plan)
+        if plan is not None:
+            count = 0 if partner.spread >= self.fleet.settings.most else partner.spread
+            whole = Whole.of(plan.ceiling_rate, plan.ceiling_burst, self.floor, partner.first if count else 0, count)
+            self.budgets.demand(core.now, partner.name, whole, int(units * UNIT))
+            self._parts(core)
+
+    def _parts(self, core: Core) -> None:
+        """Tell the policy what changed."""
+        if self.budgets.changes:
+            changes, self.budgets.changes = self.budgets.changes, []
+            for x in changes:
+                part = i.Part(x.name, x.part.rate / UNIT, x.part.burst / UNIT, x.add / UNIT)
+                core.engine.part(core.now, part)
+                if self.told:
+                    fields = {
+                        "process": f"{self.fleet.me:016x}", "place": "{}:{}".format(*self.fleet.settings.address),
+                        "partner": x.name, "rate": x.part.rate, "burst": x.part.burst,
+                        "lent_ms": round(x.lent_ms, 1), "owned_rate": x.owned.rate, "owned_burst": x.owned.burst,
+                    }  # fmt: skip
+                    core.orders.append(c.Remark("info", "part", fields))
+
+    def _settings(self, settings: i.Settings) -> None:
+        self.ceilings = {p.name: p for p in settings.plans if p.ceiling_rate}
+
+    def among(self, settings: i.Settings) -> i.Settings:
+        """Settings as they hold among the members that there are: of numbers that nobody has none is a keeper."""
+        self._settings(settings)
+        seats = self.fleet.view.seats
+        return replace(settings, present=tuple(sorted(n for n, s in seats.items() if s.state == SEATED)))
+
+    def _present(self, core: Core) -> None:
+        core.engine.adopt(core.now, self.among(core.setup.settings), core.engine.margin)
+
     def _peers(self, core: Core) -> None:
         seats = self.fleet.view.seats
         core.orders.append(c.Peers({n: s.address for n, s in seats.items() if n != self.number}))
@@ -80,12 +144,18 @@
             self.fleet.publish(LOAD, msgpack.packb(figures))
         core.engine.at(core.now + LOOK_MS, self._look, core)
 
-    def leave(self, now: float) -> None:
+    def leave(self, core: Core, now: float) -> None:
+        self.fleet.now = now
+        self.budgets.stop(now)
         self.fleet.leave(now)
+        self.carry(core)
 
-    def hand_over(self, now: float) -> None:
-        """A successor at the same address goes on from here: not a word more."""
-        self.fleet.hush(now)
+    def hand_over(self, core: Core) -> None:
+        """A successor at the same address goes on from here: not a word more, and nothing more of any ceiling."""
+        self.budgets.stop(core.now)
+        self._parts(core)
+        self.carry(core)
+        self.fleet.hush(core.now)
 
     def left(self) -> bool:
         return self.fleet.left
@@ -97,7 +167,7 @@
         for m in found["members"]:
             figures = _figures(loads.get(m["id"]))
             m.update(figures)
-        return found
+        return found | {"budgets": sorted(self.budgets.rows(self.fleet.now), key=lambda r: -r["demand"])[:MOST_ROWS]}
 
 
 def _figures(data: bytes | None) -> dict[str, int | None]:
@@ -107,3 +177,10 @@
     except (ValueError, msgpack.UnpackException):
         values = [None] * len(names)
     return dict(zip(names, values, strict=False))
+
+
+def _spilled(core: Core, name: str) -> int:
+    """What the module's bucket of a partner's ceiling had no room for, in all."""
+    quota = getattr(core.engine.policy, "quota", None)
+    lent = quota.lent.get(crc32(name.encode())) if quota is not None else None
+    return int(lent.spilled * UNIT) if lent is not None else 0
--- a/rushweir/ingress/shell.py
+++ b/rushweir/ingress/shell.py
@@ -173,7 +173,7 @@
     async def _leave_fleet(self) -> None:
         """Give the number back before the socket closes; after a few tries without an answer it is over as well."""
         if self.core.fleet is not None:
-            self.core.fleet.leave(self.clock())
+            self.core.fleet.leave(self.core, self.clock())
             self.carry_out()
             while not self.core.fleet.left():
                 await asyncio.sleep(0.01)
--- a/rushweir/interface.py
+++ b/rushweir/interface.py
@@ -137,6 +137,7 @@
     meter_ms: float = 0.0
     largest_request: float = 1.0
     settles: bool = False  # the true units come with the answer
+    lent: bool = False  # a ceiling is spent by parts that are given as events, and by nothing else
 
 
 @dataclass(frozen=True, slots=True)
@@ -153,6 +154,7 @@
     weights: str = "off"  # what a server's weight means: off, nominal, rough or live
     ask_discovery: bool = False
     tick_ms: float = 1.0
+    present: tuple[int, ...] = ()  # gateways that are there; none: all
 
 
 # --- events -----------------------------------------------------------------------------------
@@ -240,8 +242,20 @@
     load: dict[str, float] | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class Part:
+    """What this gateway may spend of a customer's ceiling from now on, where ceilings are lent, with some tokens."""
+
+    customer: str
+    rate: float
+    burst: float
+    add: float = 0.0
+
+
 # Settings are an event too: others, for the same gateway, from now on.
-Event = Settings | Members | Request | Outcome | FirstByte | Gone | Timer | PeerMessage | Counted | Probed
+Event = (
+    Settings | Part | Members | Request | Outcome | FirstByte | Gone | Timer | PeerMessage | Counted | Probed
+)
 
 # --- actions ----------------------------------------------------------------------------------
 
--- a/rushweir/lab/day.py
+++ b/rushweir/lab/day.py
@@ -112,6 +112,7 @@
     fleet: int = 0  # seeds of the fleet, which gives the numbers; 0: none, and places are numbers
     fleet_term: float = 5_000.0
     fleet_keep: float = 15_000.0
+    budgets_term: float = 2_000.0
     nodes: list[DayNode] = field(default_factory=list)
     classes: list[DayClass] = field(default_factory=list)
     plans: list[DayPlan] = field(default_factory=list)
@@ -192,7 +193,8 @@
 
 _WORDS = {
     "length": duration, "seed": whole, "fleet": whole, "started": whole, "fleet-term": duration,
-    "fleet-keep": duration, "load": number, "retries": whole, "backoff": duration, "honour": number,
+    "fleet-keep": duration, "budgets-term": duration, "load": number, "retries": whole, "backoff": duration,
+    "honour": number,
     "try-share": number, "calm": number, "full": number, "heavy": number, "swing": number, "list-late": duration,
     "peer-delay": duration, "peer-loss": number, "meter": duration, "meter-late": duration, "key-window": duration,
 }  # fmt: skip
--- a/rushweir/lab/report.py
+++ b/rushweir/lab/report.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 from rushweir.lab.checker import check
+from rushweir.lab.checker_parts import check_parts, read_parts
 from rushweir.lab.day import Day
 from rushweir.lab.records import read_all
 
@@ -64,4 +65,9 @@
         out.append("not played: " + ", ".join(day.not_played))
     verdict = check(records)
     out += verdict.lines(next((r["at"] for r in records if r["e"] == "begin"), records[0]["t"]))
-    return "\n".join(out), verdict.kept
+    kept = verdict.kept
+    if day.fleet:
+        parts = check_parts(read_parts(folder / "errors.txt", facts["wall_offset"]), records, facts)
+        out += parts.lines(next((r["at"] for r in records if r["e"] == "begin"), records[0]["t"]))
+        kept = kept and parts.kept
+    return "\n".join(out), kept
--- a/rushweir/lab/sabotage.py
+++ b/rushweir/lab/sabotage.py
@@ -4,7 +4,8 @@
 
 ``lost``: answers are dropped now and then. ``twice``: some requests are answered two times. ``repeat``: what may
 have run is sent again to wherever. ``drain``: news of draining and gone nodes is not believed. ``cold``: a cold
-node is taken for the best of all. ``ceiling``: plans have no ceiling. None of this is reachable from the program.
+node is taken for the best of all. ``ceiling``: plans have no ceiling. ``parts``: rights to a shared ceiling never
+end. None of this is reachable from the program.
 """
 
 from __future__ import annotations
@@ -13,6 +14,8 @@
 from dataclasses import replace
 
 from rushweir import interface as i
+from rushweir.budgets.core import Budgets, Held
+from rushweir.budgets.records import Part, Whole
 from rushweir.config.load import Config
 from rushweir.ingress import commands as c
 from rushweir.ingress.clients import Clients
@@ -90,14 +93,32 @@
     room.Room.fits = lambda self, name, units, keep, now: [0]
 
 
+def parts() -> None:
+    """Of a shared ceiling each ingress takes what it was lent for its own, for good, and its floor thrice."""
+    real = Budgets.floor
+    Budgets.turn = lambda self, now: None
+
+    def floor(self: Budgets, key: int, whole: Whole) -> Part:
+        once = real(self, key, whole)
+        return once + once + once
+
+    def told(self: Budgets, key: int, h: Held, add: int) -> None:
+        h.until = max(h.until, self.fleet.now + 3_600_000.0) if h.lease.rate else h.until
+        tell(self, key, h, add)
+
+    tell, Budgets.floor, Budgets._tell = Budgets._tell, floor, told
+
+
 KINDS = {f.__name__: f for f in (lost, twice, repeat, drain, cold, ceiling)}
+SHARED = {parts.__name__: parts}  # where ceilings are shared by a fleet
 
 
 def main() -> None:
-    if len(sys.argv) < 3 or sys.argv[1] not in KINDS:
-        print(f"usage: sabotage {{{','.join(KINDS)}}} serve FILE", file=sys.stderr)
+    kinds = KINDS | SHARED
+    if len(sys.argv) < 3 or sys.argv[1] not in kinds:
+        print(f"usage: sabotage {{{','.join(kinds)}}} serve FILE", file=sys.stderr)
         sys.exit(2)
-    KINDS[sys.argv[1]]()
+    kinds[sys.argv[1]]()
     from rushweir.cli.main import main as cli
 
     cli(args=sys.argv[2:], prog_name="rushweir")
--- a/rushweir/lab/sim/days.py
+++ b/rushweir/lab/sim/days.py
@@ -15,6 +15,7 @@
 from rushweir.lab.sim.world import World
 
 Step = tuple[float, str, tuple]
+SLOW_MS = (20.0, 400.0)  # of a datagram that is overtaken
 LONGEST_MS = 20_000.0  # of a fault
 QUIET_MS = 30_000.0  # after the last fault, until all must have found together
 
@@ -32,8 +33,8 @@
 
 
 FAULTS = (
-    "kill", "restart", "stop", "leave", "join", "one_way", "halves", "thirds", "alone", "noise", "all", "tenth",
-    "usurp",
+    "kill", "restart", "stop", "stop", "leave", "join", "one_way", "halves", "thirds", "alone", "noise", "lag", "all",
+    "tenth", "usurp",
 )  # fmt: skip
 
 
@@ -44,7 +45,7 @@
         at, what = rng.uniform(2_000.0, size.length_ms), rng.choice(FAULTS)
         k, ms = rng.randrange(places), rng.uniform(500.0, LONGEST_MS)
         match what:
-            case "stop" | "one_way" | "noise" | "alone" | "usurp":
+            case "stop" | "one_way" | "noise" | "alone" | "usurp" | "lag":
                 steps.append((at, what, (k, rng.randrange(places), ms)))
             case "halves" | "thirds":
                 order = list(range(places))
@@ -60,10 +61,12 @@
 class Day:
     """One day being played."""
 
+    kind = Members
+
     def __init__(self, seed: int, size: Size, script: list[Step], make: Callable | None = None) -> None:
         self.size, self.script = size, script
         self.world = World(seed)
-        self.fleet = Members(self.world, size.seeds, 2 * size.members, size.drift, **size.settings)
+        self.fleet = self.kind(self.world, size.seeds, 2 * size.members, size.drift, **size.settings)
         if make is not None:
             self.fleet.make = make
         self.world.net.loss = 0.02
@@ -83,7 +86,8 @@
 
     def _heal(self) -> None:
         self.world.net.cut.clear()
-        self.world.net.loss = self.world.net.doubled = self.world.net.corrupt = self.world.net.slow = 0.0
+        self._calm()
+        self.world.net.loss = 0.0
         for k in range(2 * self.size.members):
             if self._is_up(k):
                 self.world.go_on(Members.place(k))
@@ -196,9 +200,15 @@
         net.loss, net.doubled, net.corrupt, net.slow = 0.2, 0.1, 0.02, 0.2
         self.world.later(ms, self._calm)
 
+    def lag(self, _: int, __: int, ms: float) -> None:
+        """Datagrams wait in queues on their way, for longer than rights last."""
+        net = self.world.net
+        net.slow, net.slow_ms = 0.5, (300.0, 2_500.0)
+        self.world.later(ms, self._calm)
+
     def _calm(self) -> None:
         net = self.world.net
-        net.loss, net.doubled, net.corrupt, net.slow = 0.02, 0.0, 0.0, 0.0
+        net.loss, net.doubled, net.corrupt, net.slow, net.slow_ms = 0.02, 0.0, 0.0, 0.0, SLOW_MS
 
     def all(self, _: int, ms: float) -> None:
         for k in range(2 * self.size.members):
@@ -210,10 +220,12 @@
             self.world.later(n * 800.0, self.restart, k, 300.0)
 
 
-def check(seed: int, size: Size, script: list[Step] | None = None, make: Callable | None = None) -> str:
+def check(
+    seed: int, size: Size, script: list[Step] | None = None, make: Callable | None = None, kind: type[Day] = Day
+) -> str:
     """What a day broke; nothing if all held."""
     try:
-        Day(seed, size, draw(seed, size) if script is None else script, make).play()
+        kind(seed, size, draw(seed, size) if script is None else script, make).play()
     except Broken as problem:
         return str(problem)
     return ""
--- a/rushweir/lab/stage.py
+++ b/rushweir/lab/stage.py
@@ -118,7 +118,8 @@
         # A member's address is its relay's; where it listens itself is known before it starts, for it can't say so
         # before it has a number, and has none before the others reach it.
         self.peer_ports = [free_port(socket.SOCK_DGRAM) for _ in range(day.ingresses)] if day.fleet else []
-        self.records.note("facts", **facts(day))
+        places = [f"127.0.0.1:{p}" for p in self.relay_ports]
+        self.records.note("facts", **facts(day), places=places)
         first = {"day": pack_day(day), "records": str(self.folder / "nodes.jsonl")}
         self.fleet = await Worker.start("fleet", first, self.errors)
         self.addresses = self.fleet.last["ready"]
--- a/rushweir/lab/written.py
+++ b/rushweir/lab/written.py
@@ -6,6 +6,7 @@
 
 from rushweir.fronts.credentials import digest
 from rushweir.lab.day import Day
+from rushweir.lab.standins.nodelist import wall_offset_ms
 from rushweir.lab.traffic import doors
 
 if TYPE_CHECKING:
@@ -28,6 +29,7 @@
         "partners": {name: p.name for name, p in day.partner_names()},
         "rules": day.rules,
         "second_copies": False,
+        "wall_offset": wall_offset_ms(),
         "length": day.length,
     }  # fmt: skip
 
@@ -67,7 +69,9 @@
     if day.fleet:
         out += ["fleet {", *(f"    seed 127.0.0.1:{p}" for p in stage.relay_ports[: day.fleet])]
         out += [f"    advertise 127.0.0.1:{stage.relay_ports[k]}", f"    term {plain(day.fleet_term)}ms",
-                f"    keep {plain(day.fleet_keep)}ms", "}"]  # fmt: skip
+                f"    keep {plain(day.fleet_keep)}ms", "}",
+                "budgets {", "    told on", f"    term {plain(day.budgets_term)}ms", "}",
+                "log {", "    each-cause 1000/s", "    at-once 1000", "}"]  # fmt: skip
     for c in day.classes:
         out += [f"class {c.name} {{", f"    aim {plain(c.aim)}ms", f"    deadline {plain(c.deadline)}ms",
                 f"    worth {plain(c.worth)}", f"    late-share {plain(c.late_share)}", f"    repeat {c.repeat}",
--- a/rushweir/logs/log.py
+++ b/rushweir/logs/log.py
@@ -40,6 +40,9 @@
     return structlog.processors.LogfmtRenderer(key_order=order, drop_missing=True)(logger, name, event)
 
 
+TAKEN = {"event", "level", "timestamp"}  # by the line itself
+
+
 class Log:
     """Writes events to a sink, as often as the limiter lets each cause."""
 
@@ -60,7 +63,7 @@
             wrapper_class=structlog.BoundLogger,
         )  # fmt: skip
 
-    def event(self, level: str, cause: str, **fields: Any) -> None:
+    def event(self, level: str, cause: str, /, **fields: Any) -> None:
         if LEVELS[level.upper()] < self.least:
             return
         write, left_out = self.limiter.may(self.clock(), cause)
@@ -69,7 +72,9 @@
             getattr(self.logger, level)(cause, **fields, **more)
 
     def remark(self, remark: Remark) -> None:
-        self.event(remark.level, remark.cause, **{k: v for k, v in remark.fields.items() if k != "event"})
+        # Overload tells its level, and a fault its event: under the line's own names they broke the line off.
+        fields = {f"{k}_" if k in TAKEN else k: v for k, v in remark.fields.items()}
+        self.event(remark.level, remark.cause, **fields)
 
     def tell_left_out(self) -> None:
         """To be called now and then: lines left out of causes that have gone quiet."""
--- a/rushweir/policy/decide.py
+++ b/rushweir/policy/decide.py
@@ -58,6 +58,8 @@
                 self.fleet.update(event, self.now)
                 self.room.partition(len(self.fleet.ready), self.now)
                 return [i.SetTimer(1, SILENT_MS)] * (event.scope is i.Scope.FAILED and self.s.ask_discovery)
+            case i.Part():
+                self.quota.lend(event, self.now)
             case i.Settings():  # of the same gateway; what was learnt stays
                 self.s = event
                 self.quota.adopt(event, self.now)
--- a/rushweir/policy/quota.py
+++ b/rushweir/policy/quota.py
@@ -31,6 +31,7 @@
         self.mail = st.Outbox(ENTRY, settings.sharing.messages_per_s, MAIL_BURST, MAIL_MOST, now)
         self.held, self.owing = dict[int, st.Ticket](), dict[int, st.Customer]()
         self.calls: dict[int, list[tuple]] = {}
+        self.lent = dict[int, st.Lent]()
         self.pace, self.next_call, self.swept = CALL_MS[0] * settings.gateways, now, now
         self.adopt(settings, now)
 
@@ -41,6 +42,7 @@
         self.plans = {p.name: (k, p) for k, p in enumerate(settings.plans)}
         for c in self.customers.values():
             self.move(c, c.plan.name, now)
+            c.doors, c.ranks = self.around(c.hash, *c.through)
 
     def move(self, c: st.Customer, plan: str, now: float) -> None:
         """To another plan, or to other quotas of the same. Of a ceiling that is new nothing is there yet."""
@@ -53,15 +55,36 @@
 
     def refill(self, c: st.Customer, now: float) -> None:
         c.store.refill(c.plan.rate, c.plan.burst, now)
-        if c.plan.ceiling_rate:
+        if c.plan.ceiling_rate and c.lent is not None:
+            full = c.ceiling + c.lent.rate * (now - c.ceiling_at) / 1000
+            c.ceiling, c.ceiling_at = min(full, c.lent.burst), now
+            c.lent.spilled += full - c.ceiling
+        elif c.plan.ceiling_rate:
             own, ms = (1 - self.part(c.plan)) / c.doors, now - c.ceiling_at
             c.ceiling = st.filled(c.ceiling, c.plan.ceiling_rate * own, c.plan.ceiling_burst * own, ms)
             c.ceiling_at = now
 
+    def lend(self, e: i.Part, now: float) -> None:
+        """Another part of a ceiling. What its bucket has beyond the new burst is gone."""
+        key = crc32(e.customer.encode())
+        lent, c = self.lent.setdefault(key, st.Lent(now)), self.customers.get(key)
+        if c is not None:
+            self.refill(c, now)
+            c.ceiling = min(c.ceiling + e.add, e.burst)
+        lent.rate, lent.burst, lent.at = e.rate, e.burst, now
+
+    def around(self, key: int, first: int, spread: int) -> tuple[int, list[int]]:
+        """How many doors a customer has, and its keepers among those that are there."""
+        count = self.s.gateways
+        doors = {(first + k) % count for k in range(min(spread, count))}
+        doors = doors.intersection(self.s.present) or doors
+        return len(doors), st.rendezvous(key, doors, 1 + max(ASKS))
+
     def part(self, plan: i.Plan) -> float:
         """Of a ceiling the first keeper has a part, for doors whose even part of the rest is spent: busy ones of many
         were shut well inside the quota. Harm: with nothing heard the doors have the rest alone."""
-        return KEPT_PART if plan.ceiling_rate and self.how.peers and not self.how.counter else 0.0
+        kept = plan.ceiling_rate and self.how.peers and not (self.how.counter or self.how.lent)
+        return KEPT_PART if kept else 0.0
 
     def pay(self, t: st.Ticket) -> bool:
         """Take the units from the own part of the ceiling, if it has them."""
@@ -79,12 +102,15 @@
         if c is None:
             if r.plan not in self.plans:
                 return None
-            (index, plan), count = self.plans[r.plan], self.s.gateways
-            doors = {(r.first + k) % count for k in range(min(r.spread, count))}
-            ranks = st.rendezvous(key, doors, 1 + max(ASKS))
+            index, plan = self.plans[r.plan]
+            doors, ranks = self.around(key, r.first, r.spread)
             # Of a ceiling only the own part is spent; what a predecessor left of it is unknown.
             store = st.Store(plan.burst, MEMORY_MS, now)
-            c = self.customers[key] = st.Customer(plan, index, key, len(doors), ranks, store, self.began)
+            c = self.customers[key] = st.Customer(plan, index, key, doors, ranks, store, self.began)
+            c.through = r.first, r.spread
+            if self.how.lent:
+                c.lent = self.lent.setdefault(key, st.Lent(now))
+                c.ceiling_at = c.lent.at
         elif c.plan.name != r.plan:
             self.move(c, r.plan, now)
         c.seen = now
@@ -141,8 +167,10 @@
         store, p, part = self.kept.get(c.hash, c.store), c.plan, self.part(c.plan)
         quota = max(0.0, units - store.level) * 1000 / (p.rate * c.share + 1e-9) * (p.rate > 0)
         # The own part of a ceiling fills by itself; no advice at all would bring the try back at once, in vain.
-        lacks = max(0.0, units - c.ceiling) * c.doors * (own or not part)
-        return max(quota, lacks * 1000 / (p.ceiling_rate * (1 - part)) if lacks else 0.0)
+        lacks, rate = max(0.0, units - c.ceiling) * c.doors * (own or not part), p.ceiling_rate * (1 - part)
+        if c.lent is not None and c.lent.rate:
+            rate = c.lent.rate * c.doors
+        return max(quota, lacks * 1000 / rate if lacks else 0.0)
 
     def settle(self, t: st.Ticket, more: float, over: bool) -> None:
         c = t.c
@@ -216,6 +244,7 @@
             self.swept = now
             self.customers = {n: c for n, c in self.customers.items() if now - c.seen < IDLE_MS or c.open}
             self.kept = {k: s for k, s in self.kept.items() if now - s.at < IDLE_MS}
+            self.lent = {k: x for k, x in self.lent.items() if k in self.customers or now - x.at < IDLE_MS}
             self.calls = {n: calls for n, calls in self.calls.items() if calls}
             self.held = {k: t for k, t in self.held.items() if now < t.r.not_after_ms}
         return calls
--- a/rushweir/state.py
+++ b/rushweir/state.py
@@ -112,6 +112,15 @@
             del self.out[over]
 
 
+class Lent:
+    """A part of a ceiling: a rate and a burst, given from time to time, and what it had no room for in all."""
+
+    __slots__ = ("at", "burst", "rate", "spilled")
+
+    def __init__(self, now: float) -> None:
+        self.rate, self.burst, self.spilled, self.at = 0.0, 0.0, 0.0, now
+
+
 class Customer:
     """What a door knows of one customer: its last word of the store, and what it owes the keeper."""
 
@@ -123,6 +132,8 @@
         self.word = math.inf  # the level as it was told
         self.open, self.missed = 0, 0.0  # attempts out; units refused on a word since the keeper was asked
         self.pending, self.share, self.ceiling = 0.0, 1.0, 0.0 if plan.ceiling_rate else math.inf
+        self.through = 0, 1  # its first door, and how many from it on
+        self.lent: Lent | None = None  # the part of the ceiling that it has, where ceilings are lent
 
     def over(self, own: bool) -> int:
         """What a question tells beside its units: whether the keeper is to pay of the ceiling; what was refused."""
--- a/tests/logs/test_logs.py
+++ b/tests/logs/test_logs.py
@@ -144,3 +144,16 @@
     sink.put("b")
     sink.close(5)
     assert not sink.thread.is_alive()
+
+
+def test_fields_with_the_names_of_the_line_are_kept_under_others(tmp_path):
+    """Overload's own ``level`` raised a TypeError in the turn that told it."""
+    lines: list[str] = []
+
+    class Kept:
+        put = staticmethod(lines.append)
+
+    log = Log(Kept(), lambda: 0.0, Limiter(2.0, 20), "json", "info")
+    log.remark(Remark("warning", "overload", {"level": 2, "event": "x", "delay_ms": 70}))
+    (line,) = map(json.loads, lines)
+    assert (line["level"], line["level_"], line["event"], line["event_"]) == ("warning", 2, "overload", "x")
