Ledgers handed over twice keep what was lent; spilled tokens go where they are lacked

Also: what a full bucket had no room for is told as a sum and goes to buckets that lack some; a home short of datagrams answers those first whose part ends soon; the chair's lease is 2 s in place of 3.

--- a/rushweir/budgets/core.py
+++ b/rushweir/budgets/core.py
@@ -33,6 +33,7 @@
 TICK_MS, ROOM = 50.0, 190
 DEMAND_MS = 1_000.0  # memory of demand
 IDLE_TERMS = 4  # without demand a budget is forgotten here; what it lent is over by then
+SOON_MS = 300.0  # until a holder whose bucket is empty asks again
 MOST_ASKED = 8  # questions whose answers are waited for
 LEDGER_ROWS = 4  # in a datagram
 
@@ -74,8 +75,9 @@
         self.handing: dict[int, tuple[int, list[list[int]], float]] = {}  # ledgers given away: to whom, and till when
         self.ledgers: dict[int, dict[int, list]] = {}
         self.stopped = False
-        # How much the bucket of a budget had no room for since it began, in thousandths: its user knows.
-        self.spilled: Callable[[str], int] = lambda name: 0
+        # Of the bucket of a budget, in thousandths, what it had no room for since it began, and what it has room for
+        # now: its user knows.
+        self.bucket: Callable[[str], tuple[int, int]] = lambda name: (0, 0)
         fleet.apps[TOPIC] = self._heard
 
     # --- users -----------------------------------------------------------------------------------
@@ -98,6 +100,8 @@
             self._tell(key, h, 0)
         h.demand.add(amount, now)
         h.used_at = now
+        if h.ask_at > now + SOON_MS and self.bucket(name)[1] > h.told.burst - amount:
+            h.ask_at = now + SOON_MS  # too little is left for this: what the reserve has is needed now
 
     def part(self, now: float, name: str) -> Part:
         """What may be spent now: the lease if it is not over, and the floor."""
@@ -235,8 +239,9 @@
             self.out.setdefault(home, []).append(row)
 
     def _question(self, key: int, h: Held, holding: int, demand: int) -> list[int]:
-        w, spilled = h.whole, self.spilled(h.name)
-        return [ASK, key, h.serial, holding, demand, spilled, w.rate, w.burst, int(w.floor * 100), w.first, w.count]
+        w, floor = h.whole, int(h.whole.floor * 100)
+        bucket = self.bucket(h.name)
+        return [ASK, key, h.serial, holding, demand, *bucket, w.rate, w.burst, floor, w.first, w.count]
 
     def _granted(self, serial: int, key: int, part: Part, add: int) -> None:
         h = self.held.get(key)
@@ -257,7 +262,7 @@
     # --- as a home -------------------------------------------------------------------------------
 
     def _asked(self, who: int, row: list) -> None:
-        _, key, serial, holding, demand, spilled, rate, burst, floor, first, count = row
+        _, key, serial, holding, demand, spilled, lacks, rate, burst, floor, first, count = row
         whole = Whole(rate, burst, floor / 100, first, count)
         now = self.fleet.now
         if self.stopped or self.home_of(key, whole) != self.fleet.me or not self._sure():
@@ -268,7 +273,10 @@
             # What a predecessor lent is unknown.
             home = self.homes[key] = Home(now, self.term, max(now, self.opens_at))
         home.scope = whole
-        told = home.ask(now, who, serial, holding, demand, self._lendable(key, whole), spilled)
+        if who != self.fleet.me and not self.fleet.app_budget.has(now) and not home.urgent(now, who):
+            self.counts["not_urgent"] += 1  # its part lasts; others' would end for want of an answer
+            return
+        told = home.ask(now, who, serial, holding, demand, self._lendable(key, whole), spilled, lacks)
         if told is None:
             return
         part, add = told
--- a/rushweir/budgets/home.py
+++ b/rushweir/budgets/home.py
@@ -6,8 +6,8 @@
 all holders may spend is never more than the whole, however messages are lost, doubled or late.
 
 Tokens move with the parts. What nobody holds fills a reserve here, and so does what spilled over at a holder whose
-bucket was full, as it tells with its next question; who demands more than its part gets of the reserve along with
-each answer. What was in a bucket that is taken back, or whose holder fell silent, counts as spent.
+bucket was full, as it tells with its next question; whose bucket lacks some gets of the reserve along with each
+answer. What was in a bucket that is taken back, or whose holder fell silent, counts as spent.
 """
 
 from __future__ import annotations
@@ -20,7 +20,7 @@
 from rushweir.fleet.drift import longest, shortest
 
 UNKNOWN = Whole(2**62, 2**62)  # of a holder that a predecessor knew: what it was told of the whole is not handed on
-RESERVE_PART = 0.25  # of what may be lent is kept for the reserve to have room
+RESERVE_PART = 0.35  # of what may be lent is kept for the reserve to have room
 ADD_PART = 0.5  # of the reserve goes with one grant: others will ask
 MOST_GRANTS = 8  # of one holder that may be on their way; older ones count together
 
@@ -61,12 +61,13 @@
         self.division: dict[int, int] = {}
 
     def ask(
-        self, now: float, who: int, serial: int, holding: int, demand: int, whole: Whole, spilled: int = 0
-    ) -> tuple[Part, int] | None:
+        self, now: float, who: int, serial: int, holding: int, demand: int, whole: Whole, spilled: int = 0,
+        lacks: int = 0,
+    ) -> tuple[Part, int] | None:  # fmt: skip
         """A holder's question: it acts on the grant with the serial ``holding`` or on a later one, and demands so
         much a second of a ``whole``, which is what may be lent, without floors that are owned. ``spilled`` is all
-        that its bucket had no room for, since it began. Its part from now on, and tokens along with it; None: not
-        open, or an old question."""
+        that its bucket had no room for since it began, ``lacks`` what it has room for now. Its part from now on, and
+        tokens along with it; None: not open, or an old question."""
         self.settle(now)
         h = self.holders.setdefault(who, Holder(whole))
         if serial <= h.serial:
@@ -95,10 +96,15 @@
         h.spilled = spilled
         # The reserve has room for less now; what it gives along is in the holder's bucket, and no longer here.
         self.reserve = min(self.reserve, self._room().burst)
-        add = int(min(self.reserve * ADD_PART, part.burst)) if demand > part.rate else 0
+        add = int(min(self.reserve * ADD_PART, lacks, part.burst))
         self.reserve -= add
         return part, add
 
+    def urgent(self, now: float, who: int) -> bool:
+        """Whether a holder's part ends soon, so that it needs an answer before others."""
+        h = self.holders.get(who)
+        return h is None or max((g.until for g in h.grants), default=now) - now < self.term / 2
+
     def settle(self, now: float) -> None:
         """Let time pass: grants end, the reserve fills by what nobody holds."""
         room = self._room()
@@ -151,7 +157,9 @@
         rows = []
         for who, h in self.holders.items():
             left = max((g.until for g in h.grants), default=now) - now
-            rows.append([who, h.serial, *_pair(h.counts()), int(left) + 1])
+            # Also what a predecessor granted, from which the holder asked nothing here yet.
+            serial = max([h.serial, *(g.serial for g in h.grants)])
+            rows.append([who, serial, *_pair(h.counts()), int(left) + 1])
         return rows
 
     def load(self, now: float, rows: list[list[int]]) -> None:
--- a/rushweir/fleet/settings.py
+++ b/rushweir/fleet/settings.py
@@ -26,7 +26,7 @@
     most: int  # numbers that there are
     wanted: int = -1  # the number that it must have; -1: any
     zone: str = ""
-    chair_ms: float = 3_000.0  # right to decide, unless renewed
+    chair_ms: float = 2_000.0  # right to decide, unless renewed: shorter than anything that needs it to go on
     view_ms: float = 10_000.0  # a view may be acted on for so long after it was surely in force
     keep_ms: float = 600_000.0  # a number that fell silent is given to nobody else for so long
     per_s: float = 20.0  # datagrams of the fleet a second
--- a/rushweir/ingress/membership.py
+++ b/rushweir/ingress/membership.py
@@ -50,7 +50,7 @@
             self.fleet.start(core.now)
         core.engine.at(core.now, self._look, core)
         self.budgets.start(core.now)
-        self.budgets.spilled = lambda name: _spilled(core, name)
+        self.budgets.bucket = lambda name: _bucket(core, name)
         self._settings(core.setup.settings)
         self._peers(core)
         if self.fleet.view.number:
@@ -179,8 +179,11 @@
     return dict(zip(names, values, strict=False))
 
 
-def _spilled(core: Core, name: str) -> int:
-    """What the module's bucket of a partner's ceiling had no room for, in all."""
-    quota = getattr(core.engine.policy, "quota", None)
-    lent = quota.lent.get(crc32(name.encode())) if quota is not None else None
-    return int(lent.spilled * UNIT) if lent is not None else 0
+def _bucket(core: Core, name: str) -> tuple[int, int]:
+    """Of the module's bucket of a partner's ceiling: what it had no room for in all, and what it has room for."""
+    quota, key = getattr(core.engine.policy, "quota", None), crc32(name.encode())
+    if quota is None or (lent := quota.lent.get(key)) is None:
+        return 0, 0
+    c = quota.customers.get(key)
+    level = 0.0 if c is None else c.ceiling + lent.rate * (core.now - c.ceiling_at) / 1000
+    return int(lent.spilled * UNIT), int(max(0.0, lent.burst - level) * UNIT)
--- a/rushweir/lab/sim/budget_plants.py
+++ b/rushweir/lab/sim/budget_plants.py
@@ -18,9 +18,10 @@
 
 class Freed(Home):
     def ask(
-        self, now: float, who: int, serial: int, holding: int, demand: int, whole: Whole, spilled: int = 0
-    ) -> tuple[Part, int] | None:
-        return super().ask(now, who, serial, serial, demand, whole, spilled)
+        self, now: float, who: int, serial: int, holding: int, demand: int, whole: Whole, spilled: int = 0,
+        lacks: int = 0,
+    ) -> tuple[Part, int] | None:  # fmt: skip
+        return super().ask(now, who, serial, serial, demand, whole, spilled, lacks)
 
     def settle(self, now: float) -> None:
         super().settle(now)
