A third of a shared ceiling stays with its home for whoever asks; pages of budgets

Change: the home keeps a third of what may be lent as the module's first keeper has it today, as long as it surely is the home; both go by the same rendezvous. Who is not sure of its view asks the chair after 1.2 s. The judge of parts knows what homes keep.

--- a/rushweir/budgets/core.py
+++ b/rushweir/budgets/core.py
@@ -13,21 +13,20 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field, replace
+from collections.abc import Callable
+from dataclasses import replace
 from math import inf
-from typing import Any
 
 from rushweir.budgets.division import floor_of
 from rushweir.budgets.home import Home
-from rushweir.budgets.records import NOTHING, UNIT, Part, PartChanged, Whole, key_of
+from rushweir.budgets.records import NOTHING, UNIT, Held, Part, PartChanged, Whole, key_of
 from rushweir.fleet.core import Fleet
 from rushweir.fleet.drift import DRIFT, longest, shortest
 from rushweir.fleet.table import fitting
 from rushweir.fleet.views import SEATED, View
 from rushweir.state import Rate, rendezvous
 
-TOPIC = 1
+TOPIC, MASK = 1, 0xFFFFFFFF
 ASK, GRANT, LEDGER = 0, 1, 2
 ASK_PART = 0.25  # of the term: how often a holder asks again
 TICK_MS, ROOM = 50.0, 190
@@ -38,24 +37,6 @@
 LEDGER_ROWS = 4  # in a datagram
 
 
-@dataclass(slots=True)
-class Held:
-    """One budget as a holder knows it."""
-
-    name: str
-    whole: Whole
-    demand: Rate
-    since: float
-    used_at: float
-    lease: Part = NOTHING
-    until: float = -inf  # of the lease
-    taken: int = 0  # serial of the grant acted on
-    serial: int = 0
-    asked: dict[int, float] = field(default_factory=dict)  # when, by serial
-    ask_at: float = 0.0
-    told: Part = NOTHING  # as the user was told last
-
-
 class Budgets:
     """All budgets of one process. Take what changed from ``changes`` after each call, in order."""
 
@@ -75,6 +56,7 @@
         self.handing: dict[int, tuple[int, list[list[int]], float]] = {}  # ledgers given away: to whom, and till when
         self.ledgers: dict[int, dict[int, list]] = {}
         self.stopped = False
+        self.keeping: dict[int, Part] = {}  # what this process has as a home, as its user was told
         # Of the bucket of a budget, in thousandths, what it had no room for since it began, and what it has room for
         # now: its user knows.
         self.bucket: Callable[[str], tuple[int, int]] = lambda name: (0, 0)
@@ -134,6 +116,7 @@
         if now < self.due:
             return
         self.due = inf
+        self.fleet.age()
         for key, h in self.held.items():
             if h.lease != NOTHING and now >= h.until:
                 h.lease = NOTHING
@@ -143,11 +126,35 @@
                 self.due = min(self.due, h.until)
         if self.numbered >= 0 and self.fleet.seat() < 0:
             self._number(now)
+        self._keep(now)
+
+    def _keep(self, now: float) -> None:
+        """What this process has as a home, as long as it is surely one: told to its user where it changed."""
+        sure = self._sure() and not self.stopped
+        for key in self.keeping.keys() | self.homes.keys():
+            home = self.homes.get(key)
+            mine = sure and home is not None and now >= home.open_at
+            mine = mine and self.home_of(key, home.scope) == self.fleet.me
+            has = home.kept if mine else NOTHING
+            if has != self.keeping.get(key, NOTHING):
+                slowed = Part(int(has.rate * (1 - DRIFT)), has.burst)
+                self.changes.append(PartChanged("", slowed, 0, inf, NOTHING, key & MASK))
+                self.keeping[key] = has
+            if has == NOTHING:
+                self.keeping.pop(key, None)
+        if self.keeping:
+            self.due = min(self.due, self.fleet.sure_at + shortest(self.term))
+
+    def kept(self, now: float, name: str) -> Part:
+        """What may be spent now as a home."""
+        key = key_of(name)
+        return self.keeping[key] if key in self.keeping and self._sure() else NOTHING
 
     def _tick(self, _: object) -> None:
         now = self.fleet.now
         self.turn(now)
         self._look(now)
+        self._keep(now)
         if self.fleet.seat() != self.numbered:
             self._number(now)
         if self.numbered >= 0:
@@ -205,6 +212,7 @@
             h.lease = NOTHING
             self.changes.append(PartChanged(h.name, NOTHING))
         self.held.clear()
+        self._keep(now)
         for key, home in self.homes.items():
             to = self.home_of(key, home.scope, self.fleet.me)
             if to and now >= home.open_at:
@@ -220,7 +228,7 @@
         seats = self.fleet.view.seats
         here = {n for n, s in seats.items() if s.state == SEATED and s.id != without}
         here &= set(whole.doors(self.fleet.settings.most))
-        return seats[rendezvous(key, here, 1)[0]].id if here else 0
+        return seats[rendezvous(key & MASK, here, 1)[0]].id if here else 0
 
     def _ask(self, now: float, key: int, h: Held) -> None:
         home = self.home_of(key, h.whole)
@@ -310,6 +318,7 @@
         # Whatever this process is the home of from now on, and no ledger comes for: all that was lent is over then.
         self.opens_at = now + longest(2 * self.term)
         self.sure_at = -inf
+        self._keep(now)  # before a successor begins to lend
         for key, home in list(self.homes.items()):
             to = self.home_of(key, home.scope)
             if to != self.fleet.me:
@@ -370,15 +379,3 @@
             for portion in fitting(entries, ROOM):
                 self.fleet.send_app(TOPIC, to, [portion])
         self.out.clear()
-
-    # --- to be seen ------------------------------------------------------------------------------
-
-    def rows(self, now: float) -> Iterable[dict[str, Any]]:
-        """For operators: each budget that is known here."""
-        for key, h in self.held.items():
-            floor, lease = self.floor(key, h.whole), h.lease if now < h.until else NOTHING
-            yield {
-                "name": h.name, "rate": h.whole.rate / UNIT, "floor": floor.rate / UNIT, "lent": lease.rate / UNIT,
-                "demand": round(h.demand.per_s(now) / UNIT, 2), "home": self.home_of(key, h.whole) == self.fleet.me,
-            }  # fmt: skip
-
--- a/rushweir/budgets/home.py
+++ b/rushweir/budgets/home.py
@@ -20,7 +20,8 @@
 from rushweir.fleet.drift import longest, shortest
 
 UNKNOWN = Whole(2**62, 2**62)  # of a holder that a predecessor knew: what it was told of the whole is not handed on
-RESERVE_PART = 0.35  # of what may be lent is kept for the reserve to have room
+KEPT_PART = 1 / 3  # of what may be lent stays with the home, as the module keeps it at a customer's first keeper
+RESERVE_PART = 0.25  # of what may be lent is kept for the reserve to have room
 ADD_PART = 0.5  # of the reserve goes with one grant: others will ask
 MOST_GRANTS = 8  # of one holder that may be on their way; older ones count together
 
@@ -58,6 +59,7 @@
         self.scope = self.whole  # as it was told last, with what numbers own: its doors say whose home moves where
         self.holders: dict[int, Holder] = {}
         self.reserve, self.at = 0.0, now
+        self.kept = NOTHING  # is not lent: the home's own process has it, for all
         self.division: dict[int, int] = {}
 
     def ask(
@@ -75,7 +77,9 @@
         h.serial, h.demand, h.asked_at, h.whole = serial, demand, now, whole
         # Settings are read anew by one process after the other: as long as any has the smaller whole, it holds.
         told = [x.whole for x in self.holders.values()]
-        self.whole = replace(whole, rate=min(w.rate for w in told), burst=min(w.burst for w in told))
+        rate, burst = min(w.rate for w in told), min(w.burst for w in told)
+        self.kept = Part(int(rate * KEPT_PART), int(burst * KEPT_PART))
+        self.whole = replace(whole, rate=rate - self.kept.rate, burst=burst - self.kept.burst)
         h.grants = [g for g in h.grants if g.serial >= holding]
         if now < self.open_at:
             return None
--- a/rushweir/budgets/records.py
+++ b/rushweir/budgets/records.py
@@ -2,8 +2,12 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from hashlib import blake2b
+from math import inf
+from zlib import crc32
+
+from rushweir.state import Rate
 
 UNIT = 1_000
 
@@ -56,8 +60,28 @@
     add: int = 0
     lent_ms: float = 0.0  # for so long; then what is not ``owned`` is over by itself
     owned: Part = NOTHING
+    kept: int = 0  # not 0: as the home has it, for whoever asks there; the CRC of a name that may be unknown here
+
+
+@dataclass(slots=True)
+class Held:
+    """One budget as a holder knows it."""
+
+    name: str
+    whole: Whole
+    demand: Rate
+    since: float
+    used_at: float
+    lease: Part = NOTHING
+    until: float = -inf  # of the lease
+    taken: int = 0  # serial of the grant acted on
+    serial: int = 0
+    asked: dict[int, float] = field(default_factory=dict)  # when, by serial
+    ask_at: float = 0.0
+    told: Part = NOTHING  # as the user was told last
 
 
 def key_of(name: str) -> int:
-    """A budget on the wire."""
-    return int.from_bytes(blake2b(name.encode(), digest_size=7).digest(), "big")
+    """A budget on the wire. Its home is where the module's first keeper of a customer of that name is: both go by the
+    CRC of the name, which is the lower half of this."""
+    return int.from_bytes(blake2b(name.encode(), digest_size=3).digest(), "big") << 32 | crc32(name.encode())
--- a/rushweir/fleet/members.py
+++ b/rushweir/fleet/members.py
@@ -43,7 +43,8 @@
     (DEAD, GOODBYE): LEFT,
 }
 MOST_HEALTH = 8  # times the usual patience, at worst
-STALE_PART, CHAIR_ASKED = 1 / 4, 12  # of a view's term; members that ask the chair in each period at most
+STALE_PART, STALE_MS = 1 / 4, 1_200.0  # of a view's term, and at most: word that it is in force is stale then
+CHAIR_ASKED = 6  # members that ask the chair in each period, at most
 MOST_ZONE = 32  # bytes of a zone's name as it is told
 
 
@@ -197,7 +198,7 @@
         """Word that the view is in force comes with any answer, but from hand to hand. Who has none for a while asks
         the chair itself, in a large fleet by lot: together they ask as often as ``CHAIR_ASKED`` members would."""
         fleet, chair = self.fleet, self.fleet.chair_id()
-        if chair == fleet.me or fleet.age() <= fleet.settings.view_ms * STALE_PART:
+        if chair == fleet.me or fleet.age() <= min(STALE_MS, fleet.settings.view_ms * STALE_PART):
             return
         known = self.known.get(chair)
         if known is not None and known.state <= SUSPECT and self.rng.random() * self.count() < CHAIR_ASKED:
--- a/rushweir/fleet/settings.py
+++ b/rushweir/fleet/settings.py
@@ -29,8 +29,8 @@
     chair_ms: float = 2_000.0  # right to decide, unless renewed: shorter than anything that needs it to go on
     view_ms: float = 10_000.0  # a view may be acted on for so long after it was surely in force
     keep_ms: float = 600_000.0  # a number that fell silent is given to nobody else for so long
-    per_s: float = 20.0  # datagrams of the fleet a second
-    apps_per_s: float = 20.0  # and of those that use it
+    per_s: float = 15.0  # datagrams of the fleet a second
+    apps_per_s: float = 12.0  # and of those that use it
 
     def __post_init__(self) -> None:
         if not 1 <= len(self.seeds) <= MOST_SEEDS or len(set(self.seeds)) < len(self.seeds):
--- a/rushweir/ingress/membership.py
+++ b/rushweir/ingress/membership.py
@@ -11,6 +11,7 @@
 from rushweir import interface as i
 from rushweir.budgets.core import Budgets
 from rushweir.budgets.records import UNIT, Whole
+from rushweir.budgets.status import rows
 from rushweir.fleet import orders as o
 from rushweir.fleet.core import Fleet
 from rushweir.fleet.frame import VERSION
@@ -102,13 +103,15 @@
         if self.budgets.changes:
             changes, self.budgets.changes = self.budgets.changes, []
             for x in changes:
-                part = i.Part(x.name, x.part.rate / UNIT, x.part.burst / UNIT, x.add / UNIT)
+                whose = x.kept or x.name
+                part = i.Part(whose, x.part.rate / UNIT, x.part.burst / UNIT, x.add / UNIT, bool(x.kept))
                 core.engine.part(core.now, part)
                 if self.told:
                     fields = {
                         "process": f"{self.fleet.me:016x}", "place": "{}:{}".format(*self.fleet.settings.address),
-                        "partner": x.name, "rate": x.part.rate, "burst": x.part.burst,
-                        "lent_ms": round(x.lent_ms, 1), "owned_rate": x.owned.rate, "owned_burst": x.owned.burst,
+                        "partner": x.name, "kept": x.kept, "rate": x.part.rate, "burst": x.part.burst,
+                        "lent_ms": 0.0 if x.kept else round(x.lent_ms, 1), "owned_rate": x.owned.rate,
+                        "owned_burst": x.owned.burst,
                     }  # fmt: skip
                     core.orders.append(c.Remark("info", "part", fields))
 
@@ -167,7 +170,7 @@
         for m in found["members"]:
             figures = _figures(loads.get(m["id"]))
             m.update(figures)
-        return found | {"budgets": sorted(self.budgets.rows(self.fleet.now), key=lambda r: -r["demand"])[:MOST_ROWS]}
+        return found | {"budgets": sorted(rows(self.budgets, self.fleet.now), key=lambda r: -r["demand"])[:MOST_ROWS]}
 
 
 def _figures(data: bytes | None) -> dict[str, int | None]:
--- a/rushweir/interface.py
+++ b/rushweir/interface.py
@@ -244,12 +244,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Part:
-    """What this gateway may spend of a customer's ceiling from now on, where ceilings are lent, with some tokens."""
+    """What this gateway may spend of a customer's ceiling from now on, where ceilings are lent, with some tokens;
+    ``kept``: as the customer's first keeper, for all doors. A keeper may know the CRC of a customer's name only."""
 
-    customer: str
+    customer: str | int
     rate: float
     burst: float
     add: float = 0.0
+    kept: bool = False
 
 
 # Settings are an event too: others, for the same gateway, from now on.
--- a/rushweir/lab/sabotage.py
+++ b/rushweir/lab/sabotage.py
@@ -14,8 +14,8 @@
 from dataclasses import replace
 
 from rushweir import interface as i
-from rushweir.budgets.core import Budgets, Held
-from rushweir.budgets.records import Part, Whole
+from rushweir.budgets.core import Budgets
+from rushweir.budgets.records import Held, Part, Whole
 from rushweir.config.load import Config
 from rushweir.ingress import commands as c
 from rushweir.ingress.clients import Clients
--- a/rushweir/lab/sim/spenders.py
+++ b/rushweir/lab/sim/spenders.py
@@ -115,6 +115,8 @@
         self.changed |= bool(changes)
         for c in changes:
             assert isinstance(c, PartChanged)
+            if c.kept:
+                continue  # nobody asks a keeper here: what it has counts in the sums, and is not spent
             self.buckets.setdefault(c.name, Bucket(now)).change(now, c.part, c.add)
 
     # the world looks at the member
@@ -199,5 +201,6 @@
         fleet.now = now
         seated = fleet.number if fleet.number >= 0 and fleet.in_chair() else fleet.seat()
         part = core.budgets.part(now, name) if seated >= 0 or name in core.buckets else NOTHING
+        part += core.budgets.kept(now, name)
         fleet.now = was
         return part
--- a/rushweir/lab/written.py
+++ b/rushweir/lab/written.py
@@ -30,6 +30,7 @@
         "rules": day.rules,
         "second_copies": False,
         "wall_offset": wall_offset_ms(),
+        "budgets_term": day.budgets_term,
         "length": day.length,
     }  # fmt: skip
 
--- a/rushweir/policy/quota.py
+++ b/rushweir/policy/quota.py
@@ -66,8 +66,14 @@
 
     def lend(self, e: i.Part, now: float) -> None:
         """Another part of a ceiling. What its bucket has beyond the new burst is gone."""
-        key = crc32(e.customer.encode())
+        key = crc32(e.customer.encode()) if isinstance(e.customer, str) else e.customer
         lent, c = self.lent.setdefault(key, st.Lent(now)), self.customers.get(key)
+        if e.kept:
+            if key in self.kept:
+                self.kept[key].fill_ceiling(*lent.kept, now)
+                self.kept[key].ceiling = min(self.kept[key].ceiling, e.burst)
+            lent.kept, lent.at = (e.rate, e.burst), now
+            return
         if c is not None:
             self.refill(c, now)
             c.ceiling = min(c.ceiling + e.add, e.burst)
@@ -83,8 +89,7 @@
     def part(self, plan: i.Plan) -> float:
         """Of a ceiling the first keeper has a part, for doors whose even part of the rest is spent: busy ones of many
         were shut well inside the quota. Harm: with nothing heard the doors have the rest alone."""
-        kept = plan.ceiling_rate and self.how.peers and not (self.how.counter or self.how.lent)
-        return KEPT_PART if kept else 0.0
+        return KEPT_PART if plan.ceiling_rate and self.how.peers and not self.how.counter else 0.0
 
     def pay(self, t: st.Ticket) -> bool:
         """Take the units from the own part of the ceiling, if it has them."""
@@ -149,7 +154,9 @@
             store = self.kept[key] = st.Store(plan.burst, MEMORY_MS, now)
             store.ceiling_at = self.began  # of the ceiling a predecessor may have spent all
         store.refill(plan.rate, plan.burst, now)
-        store.fill_ceiling(plan, self.part(plan), now)
+        part, lent = self.part(plan), self.lent.get(key)
+        kept = (plan.ceiling_rate * part, plan.ceiling_burst * part) if not self.how.lent else (0.0, 0.0)
+        store.fill_ceiling(*(lent.kept if lent is not None else kept), now)
         taken = store.open(now - SILENT_MS)
         if who in store.out:
             return True
--- a/rushweir/state.py
+++ b/rushweir/state.py
@@ -93,8 +93,7 @@
     def refill(self, rate: float, most: float, now: float) -> None:
         self.level, self.at = filled(self.level, rate, most, now - self.at), now
 
-    def fill_ceiling(self, plan: i.Plan, part: float, now: float) -> None:
-        rate, most = plan.ceiling_rate * part, plan.ceiling_burst * part
+    def fill_ceiling(self, rate: float, most: float, now: float) -> None:
         self.ceiling, self.ceiling_at = filled(self.ceiling, rate, most, now - self.ceiling_at), now
 
     def open(self, since: float) -> int:
@@ -113,12 +112,13 @@
 
 
 class Lent:
-    """A part of a ceiling: a rate and a burst, given from time to time, and what it had no room for in all."""
+    """A part of a ceiling: a rate and a burst, given from time to time, and what it had no room for in all; ``kept``:
+    the same as a keeper has it."""
 
-    __slots__ = ("at", "burst", "rate", "spilled")
+    __slots__ = ("at", "burst", "kept", "rate", "spilled")
 
     def __init__(self, now: float) -> None:
-        self.rate, self.burst, self.spilled, self.at = 0.0, 0.0, 0.0, now
+        self.rate, self.burst, self.spilled, self.at, self.kept = 0.0, 0.0, 0.0, now, (0.0, 0.0)
 
 
 class Customer:
