Budgets at a thousand partners: floors and homes are looked up, not worked out anew

Cause, seen on reading the code again and by counting: each tick of 50 ms worked out each floor anew (a rank among all numbers by CRC, a list of all doors), each home by rendezvous, and settled each ledger. Change: floors are cached, homes are kept for the view they were found in, floors are told when they become owned, ledgers are swept once a term. Also: what the fleet's timers change is told to the module before its own timers decide in the same turn (Core.advance).

--- a/rushweir/budgets/core.py
+++ b/rushweir/budgets/core.py
@@ -48,10 +48,14 @@
         self.changes: list[PartChanged] = []
         self.counts: Counter[str] = Counter()
         self.out: dict[int, list[list]] = {}  # entries for others, by process
-        self.owned_at = inf  # from when on the floors of this process's number are its own
+        self.owned_at = inf  # from when on the floors of this process's number are its own ...
+        self.owning = False  # ... and whether its users were told
+        self.sweep_at = 0.0
         self.numbered = -1
         self.due = inf  # when the next right of this process is over
         self.view = View()  # as it was looked at last: the fleet may hold another by now
+        self.where: dict[tuple[int, int, int, int], int] = {}  # homes, in the view ...
+        self.where_in = self.view  # ... that was held when they were looked for
         self.sure_at = -inf  # when the view before the present one was surely in force
         self.handing: dict[int, tuple[int, list[list[int]], float]] = {}  # ledgers given away: to whom, and till when
         self.ledgers: dict[int, dict[int, list]] = {}
@@ -98,10 +102,10 @@
         return self.floor_of(key, whole, n) if n >= 0 else NOTHING
 
     def floor_of(self, key: int, whole: Whole, number: int) -> Part:
-        doors = whole.doors(self.fleet.settings.most)
-        if number not in doors:
+        most = self.fleet.settings.most
+        place, count = (number - whole.first) % most, whole.count or most
+        if place >= count:
             return NOTHING
-        place, count = doors.index(number), len(doors)
         rate = floor_of(key, place, count, int(whole.rate * whole.floor))
         burst = floor_of(key, place, count, int(whole.burst * whole.floor), UNIT)
         return Part(rate, burst) if rate and burst else NOTHING
@@ -131,7 +135,7 @@
     def _keep(self, now: float) -> None:
         """What this process has as a home, as long as it is surely one: told to its user where it changed."""
         sure = self._sure() and not self.stopped
-        for key in self.keeping.keys() | self.homes.keys():
+        for key in sorted(self.keeping.keys() | self.homes.keys()):
             home = self.homes.get(key)
             mine = sure and home is not None and now >= home.open_at
             mine = mine and self.home_of(key, home.scope) == self.fleet.me
@@ -159,17 +163,21 @@
             self._number(now)
         if self.numbered >= 0:
             self.due = min(self.due, self.fleet.seated_at + shortest(self.fleet.settings.keep_ms))
-            self._tell_all()  # floors become its own some time after the number
+            if now >= self.owned_at and not self.owning:
+                self.owning = True
+                self._tell_all()
         for key, h in list(self.held.items()):
             if now - h.used_at > IDLE_TERMS * self.term:
                 del self.held[key]
                 self.changes.append(PartChanged(h.name, NOTHING))
             elif now >= h.ask_at and not self.fleet.leaving:
                 self._ask(now, key, h)
-        for key, home in list(self.homes.items()):
-            home.settle(now)
-            if not home.holders and now > home.open_at + IDLE_TERMS * self.term:
-                del self.homes[key]
+        if now >= self.sweep_at:
+            self.sweep_at = now + self.term
+            for key, home in list(self.homes.items()):
+                home.settle(now)
+                if not home.holders and now > home.open_at + IDLE_TERMS * self.term:
+                    del self.homes[key]
         self._send()
         self.fleet.at(TICK_MS, self._tick, None)
 
@@ -183,7 +191,7 @@
     def _number(self, now: float) -> None:
         """This process has another number, or none."""
         self.numbered = self.fleet.seat()
-        self.owned_at = now + longest(2 * self.term) if self.numbered >= 0 else inf
+        self.owned_at, self.owning = now + longest(2 * self.term) if self.numbered >= 0 else inf, False
         self._tell_all()
 
     def _tell_all(self) -> None:
@@ -225,10 +233,17 @@
 
     def home_of(self, key: int, whole: Whole, without: int = 0) -> int:
         """The process that is the home of a budget in the view held here, or would be without one; 0: none."""
-        seats = self.fleet.view.seats
-        here = {n for n, s in seats.items() if s.state == SEATED and s.id != without}
-        here &= set(whole.doors(self.fleet.settings.most))
-        return seats[rendezvous(key & MASK, here, 1)[0]].id if here else 0
+        if self.fleet.view is not self.where_in:
+            self.where_in, self.where = self.fleet.view, {}
+        found = self.where.get((key, whole.first, whole.count, without))
+        if found is None:
+            seats = self.fleet.view.seats
+            here = {n for n, s in seats.items() if s.state == SEATED and s.id != without}
+            here &= set(whole.doors(self.fleet.settings.most))
+            found = seats[rendezvous(key & MASK, here, 1)[0]].id if here else 0
+            if len(self.where) < 4 * self.most:
+                self.where[key, whole.first, whole.count, without] = found
+        return found
 
     def _ask(self, now: float, key: int, h: Held) -> None:
         home = self.home_of(key, h.whole)
--- a/rushweir/budgets/division.py
+++ b/rushweir/budgets/division.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
+from functools import lru_cache
 from zlib import crc32
 
 KEEP = 0.1  # of a part: as long as none would change by more, all stay as they are
@@ -51,6 +52,7 @@
     return all(abs(new[k] - held[k]) <= KEEP * max(new[k], held[k]) for k in new)
 
 
+@lru_cache(maxsize=16_384)  # of each budget and number the same, and asked for at each question
 def floor_of(budget: int, number: int, numbers: int, whole: int, unit: int = 1) -> int:
     """What a number owns of a floor that all numbers share: whole ``unit``s, since less than a unit serves nobody.
     What is left over goes, a unit each, to some numbers that differ by budget."""
--- a/rushweir/ingress/core.py
+++ b/rushweir/ingress/core.py
@@ -92,6 +92,7 @@
         self._at(now)
         if self.fleet is not None:
             self.fleet.fleet.advance(now)
+            self.fleet.turn(self)  # what ended or moved by that is told before anything else is decided
         self.engine.advance(now)
         self._run()
 
@@ -188,6 +189,7 @@
         self._at(now)
         if self.fleet is not None and self.fleet.mine(data):
             self.fleet.fleet.datagram(now, data)
+            self.fleet.turn(self)
             self._run()
         elif self.peers is not None:
             told = self.peers.unpack(now, data, address)
