A reload goes on with the member and the budgets that there are

Cause, found on reading the change again: Service._setup made a Membership at each reload too, whose Budgets registered itself for the fleet's messages (fleet.apps[TOPIC]) and was never started; the running one heard nothing any more, and its parts ended after a term. Ruled out that the core takes the new one: Core.reload leaves core.fleet as it is. Change: it is made once. Also away: a counter that nothing read, a function around the log's own. Measured: a test that fails without the change; 4 tests of one member passed.

--- a/rushweir/daemon/service.py
+++ b/rushweir/daemon/service.py
@@ -59,6 +59,7 @@
         if config.state is not None:
             self.lock = StateLock(config.state, inherited.fds.get("lock") if inherited else None)
         self.member = member(config, secrets.randbits(63), self.clock())
+        self.membership: Membership | None = None  # made once: a second would take the fleet's messages from it
         self.peer_socket: socket.socket | None = None
         self.since = datetime.datetime.now(datetime.UTC).isoformat(timespec="seconds")
         facts = {"pid": os.getpid(), "boot": self.boot, "since": self.since, "version": program_version()}
@@ -85,10 +86,10 @@
 
     def _setup(self, config: Config) -> Any:
         made = config.setup(self.seed, self.boot + "-")
-        if self.member is not None:
+        if self.member is not None and self.membership is None:
             b, given = config.file.budgets, config.file.ingress[0] < 0
-            made = replace(made, fleet=Membership(self.member, config.me, given, b.term, b.floor, b.told))
-        return made
+            self.membership = Membership(self.member, config.me, given, b.term, b.floor, b.told)
+        return replace(made, fleet=self.membership)
 
     async def _join(self) -> bool:
         """Open the fleet's socket, and wait for a number where the fleet gives it; whether there is one."""
@@ -101,8 +102,8 @@
             self.peer_socket = bound(file.peers.bind)
         if file.ingress[0] >= 0:
             return True
-        note = lambda level, cause, **fields: self.log.event(level, cause, **fields)  # noqa: E731
-        number = await Joining(self.member, self.peer_socket, self.clock, self.config.state, note).run(self.ending)
+        joining = Joining(self.member, self.peer_socket, self.clock, self.config.state, self.log.event)
+        number = await joining.run(self.ending)
         self.config = replace(self.config, seat=number)
         return number >= 0
 
--- a/rushweir/fleet/core.py
+++ b/rushweir/fleet/core.py
@@ -56,7 +56,7 @@
         self.orders: deque[o.Order] = deque()
         self.counts: Counter[str] = Counter()
         self.timers: list[tuple[float, int, Callable[[Any], None], Any]] = []
-        self.serial = self.ping_serial = 0
+        self.serial = 0
         kinds = {MEMBER: MEMBER_BYTES, SEAT: SEAT_BYTES, HEADING: HEADING_BYTES, **(bounds or {})}
         self.table = Table(kinds, settings.most_entries, lambda origin: origin in self.members.known)
         self.members, self.exchange = Members(self), Exchange(self)
--- a/tests/fleet/test_serve.py
+++ b/tests/fleet/test_serve.py
@@ -9,7 +9,9 @@
 
 import pytest
 
+from rushweir.budgets.core import TOPIC
 from rushweir.config import ConfigError, load_text
+from rushweir.daemon.service import Service, make_log
 from rushweir.lab.stage import free_port
 from tests.daemon.conftest import House
 
@@ -77,6 +79,16 @@
     assert text in str(bad.value) and "a.conf:" in str(bad.value)
 
 
+def test_a_reload_goes_on_with_the_member_that_there_is(base):
+    """Reading the settings anew made a second set of budgets, which took the fleet's messages from the first."""
+    config = settings(base, PEERS % 9001 + FLEET % "term 4s", "1 12")
+    service = Service(base / "a.conf", config, make_log(config))
+    first = service._setup(config).fleet
+    taker = service.member.apps[TOPIC]
+    assert service._setup(config).fleet is first and service.member.apps[TOPIC] == taker == first.budgets._heard
+    service._ended_early(0)
+
+
 def fleet_lines(house: House, peers: int, seed: int) -> str:
     key = house.tmp / "peers.key"
     key.touch(mode=0o600)
