--- a/rushweir/budgets/core.py
+++ b/rushweir/budgets/core.py
@@ -57,7 +57,7 @@
         self.where: dict[tuple[int, int, int, int], int] = {}  # homes, in the view ...
         self.where_in = self.view  # ... that was held when they were looked for
         self.sure_at = -inf  # when the view before the present one was surely in force
-        self.handing: dict[int, tuple[int, list[list[int]], float]] = {}  # ledgers given away: to whom, and till when
+        self.opens_at = inf  # from when on this process may lend as a new home
         self.ledgers: dict[int, dict[int, list]] = {}
         self.stopped = False
         self.keeping: dict[int, Part] = {}  # what this process has as a home, as its user was told
@@ -79,7 +79,7 @@
                 self.counts["too_many"] += 1
                 self.changes.append(PartChanged(name, self.floor(key, whole)))
                 return
-            h = self.held[key] = Held(name, whole, Rate(DEMAND_MS, now), now, now)
+            h = self.held[key] = Held(name, whole, Rate(DEMAND_MS, now), now)
             self._tell(key, h, 0)
         if h.whole != whole:
             h.whole = whole
@@ -222,11 +222,8 @@
         self.held.clear()
         self._keep(now)
         for key, home in self.homes.items():
-            to = self.home_of(key, home.scope, self.fleet.me)
-            if to and now >= home.open_at:
-                self.handing[key] = to, home.dump(now), now
+            self._hand_over(now, key, home, self.home_of(key, home.scope, self.fleet.me))
         self.homes.clear()
-        self._hand_over(now)
         self._send()
 
     # --- as a holder -----------------------------------------------------------------------------
@@ -309,8 +306,6 @@
         else:
             self.out.setdefault(who, []).append([GRANT, key, serial, part.rate, part.burst, add])
 
-    opens_at = inf  # from when on this process may lend as a new home
-
     def _sure(self) -> bool:
         """Whether this process's view is surely in force, or was so a moment ago."""
         return self.fleet.view.number > 0 and self.fleet.age() < shortest(self.term)
@@ -338,18 +333,18 @@
             to = self.home_of(key, home.scope)
             if to != self.fleet.me:
                 del self.homes[key]
-                if to and now >= home.open_at:
-                    self.handing[key] = to, home.dump(now), now
-        self._hand_over(now)
-
-    def _hand_over(self, now: float) -> None:
-        for key, (to, rows, _) in self.handing.items():
-            parts = [rows[k : k + LEDGER_ROWS] for k in range(0, len(rows), LEDGER_ROWS)] or [[]]
-            for page, some in enumerate(parts):
-                entry = [LEDGER, key, self.fleet.view.number, page, len(parts), some]
-                self.fleet.send_app(TOPIC, to, [[entry]])
-            self.counts["handed_over"] += 1
-        self.handing.clear()
+                self._hand_over(now, key, home, to)
+
+    def _hand_over(self, now: float, key: int, home: Home, to: int) -> None:
+        """A ledger that may be lent by goes to the next home, if there is one."""
+        if not to or now < home.open_at:
+            return
+        rows = home.dump(now)
+        parts = [rows[k : k + LEDGER_ROWS] for k in range(0, len(rows), LEDGER_ROWS)] or [[]]
+        for page, some in enumerate(parts):
+            entry = [LEDGER, key, self.fleet.view.number, page, len(parts), some]
+            self.fleet.send_app(TOPIC, to, [[entry]])
+        self.counts["handed_over"] += 1
 
     def _ledger(self, who: int, entry: list) -> None:
         """A predecessor's ledger. It is counted from now on, and lending may begin at once."""
--- a/rushweir/budgets/home.py
+++ b/rushweir/budgets/home.py
@@ -12,7 +12,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field, replace
+from dataclasses import astuple, dataclass, field, replace
 from math import isqrt
 
 from rushweir.budgets.division import divide, settled, split
@@ -163,7 +163,7 @@
             left = max((g.until for g in h.grants), default=now) - now
             # Also what a predecessor granted, from which the holder asked nothing here yet.
             serial = max([h.serial, *(g.serial for g in h.grants)])
-            rows.append([who, serial, *_pair(h.counts()), int(left) + 1])
+            rows.append([who, serial, *astuple(h.counts()), int(left) + 1])
         return rows
 
     def load(self, now: float, rows: list[list[int]]) -> None:
@@ -173,7 +173,3 @@
             grant = Grant(serial, Part(rate, burst), now + longest(left))
             self.holders[who] = Holder(UNKNOWN, 0, now, -1, 0, [grant] if rate or burst else [])
         self.open_at = now
-
-
-def _pair(part: Part) -> tuple[int, int]:
-    return part.rate, part.burst
--- a/rushweir/budgets/records.py
+++ b/rushweir/budgets/records.py
@@ -70,7 +70,6 @@
     name: str
     whole: Whole
     demand: Rate
-    since: float
     used_at: float
     lease: Part = NOTHING
     until: float = -inf  # of the lease
