--- a/rushweir/edge/config.py
+++ b/rushweir/edge/config.py
@@ -13,6 +13,7 @@
 from rushweir.discovery.source import host_port
 from rushweir.options import settings
 
+DIAL_MS = 250.0  # for a connection to a backend, where the settings do not tell
 IDLE_MS = 15_000.0  # after which backends close an idle connection, where the settings do not tell
 MOST_FILE = 16_777_216
 MOST_PEERS = 20_000  # bounds what a broken file makes an ingress hold; a datagram names its sender by address alone
@@ -69,8 +70,7 @@
         raise ConfigError("settings: an object")
     try:
         made = settings(options)
-        ceilings = options.get("ceilings", {})
-        idle, dial = made.limits.conn_idle_ms or IDLE_MS, float(ceilings.get("dialTimeoutMs", 250.0))
+        idle, dial = made.limits.conn_idle_ms or IDLE_MS, made.limits.dial_ms or DIAL_MS
     except KeyError as missing:
         raise ConfigError(f"settings: {missing.args[0]!r} is missing or has a value that is not known") from None
     except (TypeError, ValueError, AttributeError) as problem:
--- a/rushweir/interface.py
+++ b/rushweir/interface.py
@@ -124,6 +124,7 @@
     retry_after: bool = False
     conn_idle_ms: float = 0.0  # a server closes a connection idle for so long; 0: nothing is known of connections
     streams: int = 1  # attempts that a connection carries at once
+    dial_ms: float = 0.0  # so long may a new connection take before the attempt that waits for it ends unsent
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/edge/test_process.py
+++ b/tests/edge/test_process.py
@@ -208,7 +208,8 @@
     (b"{", "config.json: line 1"), (b"{}", "config.json: settings: an object"),
     (orjson.dumps({"settings": OPTIONS}), "config.json: listen: host:port"),
     (orjson.dumps({"settings": {**OPTIONS, "classes": [{"name": "x"}]}}), "'aimMs' is missing"),
-    (orjson.dumps({"settings": OPTIONS | {"ceilings": {"connIdleMs": "soon"}}}), "config.json: settings: could not"),
+    (orjson.dumps({"settings": OPTIONS | {"ceilings": {"connIdleMs": "soon"}}}),
+     "config.json: settings: ceilings.connIdleMs: a number from 0, not 'soon'"),
     (orjson.dumps({"settings": OPTIONS, "listen": "127.0.0.1:1", "discovery": "127.0.0.1:1",
                    "limits": {"sockets": 20}}), "limits.sockets"),
 ])  # fmt: skip
