--- a/rushweir/edge/setup.py
+++ b/rushweir/edge/setup.py
@@ -4,11 +4,12 @@
 
 from dataclasses import dataclass, field
 
-from rushweir.edge.backends import Place, Pool, PoolSettings
+from rushweir.edge.backends import Endpoint, Pool, PoolSettings
 from rushweir.edge.config import Address, Config
 from rushweir.edge.front import ClientConnection, Shared
 from rushweir.edge.members import Members
 from rushweir.edge.peers import Peers
+from rushweir.ingress import commands as c
 from rushweir.ingress import core as base
 
 RESERVED = 24  # listening, datagrams, discovery (two while it moves), the loop's own, standard streams, and to spare
@@ -44,20 +45,27 @@
     pool: PoolSettings = field(default_factory=lambda: PoolSettings(most=64))
 
     def parts(self, core: base.Core) -> Parts:
-        where: dict[str, Place] = {}
-        shared = Shared(self.settings, core.health, lambda: core.moving or core.stopping, self.kept)
+        where: dict[str, Endpoint] = {}
+        shared = Shared(self.settings, core.health, lambda: core.moving or core.stopping, self.kept, lambda: core.now)
         return Parts(
             front=lambda: ClientConnection(shared),
             pool=Pool(self.pool, where, core.new_conn, core.engine.at),
             list=Members(self.discovery, self.seed, where, core.new_conn, core.engine.at),
-            peers=Peers(self.settings.me, list(self.peers)) if self.settings.sharing.peers and self.peers else None,
+            peers=self._peers(),
             shared=shared,
         )
 
+    def _peers(self) -> Peers | None:
+        return Peers(self.settings.me, list(self.peers)) if self.settings.sharing.peers and self.peers else None
+
     def adopt(self, core: base.Core) -> None:
         core.parts.shared.adopt(self.settings)
         core.parts.shared.kept = self.kept
         core.pool.settings = self.pool
+        if core.peers is None or core.peers.numbers != {a: k for k, a in enumerate(self.peers)}:
+            # A number means another ingress now, or none: a word from the old one's address would count as its.
+            core.peers = core.parts.peers = self._peers()
+            core.orders.append(c.Peers(dict(enumerate(self.peers))))
         core.list.move(core.now, self.discovery)
 
 
--- a/tests/edge/test_deploy.py
+++ b/tests/edge/test_deploy.py
@@ -16,7 +16,7 @@
 DEPLOY = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())
 LOADED = """
 import sys
-import rushweir.edge.__main__
+import rushweir.edge.__main__, rushweir.edge.service
 for name, module in sorted(sys.modules.items()):
     if getattr(module, "__file__", None):
         print(name, module.__file__, getattr(module, "__cached__", None) or "")
--- /dev/null
+++ b/tests/edge/test_signals.py
@@ -0,0 +1,191 @@
+"""Signals at moments when nobody waits for them, and many processes that start at once. ``run`` as processes."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import resource
+import signal
+import sys
+import time
+from pathlib import Path
+
+import orjson
+
+from tests.edge.conftest import booking, request
+from tests.edge.test_process import OPTIONS, Standin, launch, with_platform
+
+
+async def loading(process):
+    """The process is in the middle of its imports: the HTTP parser is mapped, the loop does not run yet."""
+    maps = Path(f"/proc/{process.pid}/maps")
+    while "httptools" not in maps.read_text():
+        await asyncio.sleep(0)
+
+
+def test_sighup_while_the_program_loads_is_a_reload_once_it_serves(tmp_path):
+    """The system's own answer to it is to end the process; handlers stood only once the loop ran."""
+
+    async def scenario(p):
+        p.process.kill()
+        await p.process.wait()
+        p.process = await launch(p.path)
+        await loading(p.process)
+        p.process.send_signal(signal.SIGHUP)
+        await p.line("started")
+        await p.line("reloaded")
+        while not (await p.ask(b"GET /_health HTTP/1.1\r\nHost: x\r\n\r\n")).startswith(b"HTTP/1.1 200"):
+            await asyncio.sleep(0.01)  # it began with no list
+        assert (await p.ask(request())).startswith(b"HTTP/1.1 200 ")
+
+    with_platform(tmp_path, scenario)
+
+
+def test_sigterm_while_the_program_loads_ends_it_in_order(tmp_path):
+    async def scenario(p):
+        p.process.kill()
+        await p.process.wait()
+        p.process = await launch(p.path)
+        await loading(p.process)
+        p.process.send_signal(signal.SIGTERM)
+        assert (await p.line("stopped"))["answered"] is True
+        assert await p.process.wait() == 0
+
+    with_platform(tmp_path, scenario)
+
+
+def test_a_second_sigterm_and_a_late_sighup_cut_nothing_off(tmp_path):
+    """While it ends, discovery may move: what the new one tells counts as before."""
+
+    async def scenario(p):
+        p.gate.clear()
+        under_way = asyncio.create_task(p.ask(booking("one")))
+        while not p.backend.heads:
+            await asyncio.sleep(0.005)
+        p.process.send_signal(signal.SIGTERM)
+        await p.line("stopping")
+        asked = asyncio.Event()
+
+        async def other(head, body, writer):
+            asked.set()
+            await asyncio.sleep(3600)
+
+        new = await Standin(other).open()
+        p.configure(discovery=f"127.0.0.1:{new.port}")
+        p.process.send_signal(signal.SIGHUP)
+        await asyncio.wait_for(asked.wait(), 4)
+        p.process.send_signal(signal.SIGTERM)
+        p.process.send_signal(signal.SIGHUP)
+        p.gate.set()
+        assert (await under_way).startswith(b"HTTP/1.1 200 ")
+        assert (await p.line("stopped"))["answered"] is True
+        assert await p.process.wait() == 0
+        new.close()
+
+    with_platform(tmp_path, scenario)
+
+
+def test_a_reload_without_the_class_of_an_open_request_answers_it_and_refuses_the_next(tmp_path):
+    async def scenario(p):
+        p.gate.clear()
+        under_way = asyncio.create_task(p.ask(booking("one")))
+        while not p.backend.heads:
+            await asyncio.sleep(0.005)
+        plans = [{"name": "other", "unitsPerS": 5.0, "storeSize": 5.0}]
+        p.configure(settings=OPTIONS | {"classes": OPTIONS["classes"][:1], "contracts": plans})
+        p.process.send_signal(signal.SIGHUP)
+        await p.line("reloaded")
+        p.gate.set()
+        assert (await under_way).startswith(b"HTTP/1.1 200 ")
+        assert b"Req-Kind: no such class" in await p.ask(booking("two"))
+        assert b"X-Contract: no such plan" in await p.ask(request("three"))
+        assert (await p.ask(request("four", plan="other"))).startswith(b"HTTP/1.1 200 ")
+
+    with_platform(tmp_path, scenario)
+
+
+def test_a_refused_reload_leaves_all_as_it_was(tmp_path):
+    async def scenario(p):
+        for settings, said in (
+            (OPTIONS | {"classes": [{"name": "x", "aimMs": "soon"}]}, "classes[0].aimMs: a number"),
+            (OPTIONS | {"contracts": [*OPTIONS["contracts"]] * 2}, "contracts: 'wide' stands twice"),
+            (OPTIONS | {"ceilings": {"maxAttempts": 0}}, "ceilings.maxAttempts: a number from 1"),
+        ):  # fmt: skip
+            p.configure(settings=settings, discovery="127.0.0.1:1")
+            p.process.send_signal(signal.SIGHUP)
+            assert said in (await p.line("reload_refused"))["why"]
+            assert (await p.ask(booking(said[:8].strip("[].: ")))).startswith(b"HTTP/1.1 200 ")
+
+    with_platform(tmp_path, scenario)
+
+
+def test_descriptors_full_of_idle_clients_while_discovery_is_down_and_it_returns(tmp_path):
+    """The watch, a dial and a new client each find a descriptor; the limit is the system's own."""
+
+    async def scenario(p):
+        p.process.kill()
+        await p.process.wait()
+        down = p.discovery.port
+        p.discovery.close()
+        page = p.list()
+        p.configure(limits={"sockets": 96}, known=page)
+        limit = "import resource, sys, runpy; resource.setrlimit(resource.RLIMIT_NOFILE, (96, 96)); "
+        run = "sys.argv = ['rushweir.edge']; runpy.run_module('rushweir.edge', run_name='__main__', alter_sys=True)"
+        p.process = await asyncio.create_subprocess_exec(
+            sys.executable, "-c", limit + run, env={**os.environ, "EDGE_CONFIG": str(p.path)},
+            stderr=asyncio.subprocess.PIPE,
+        )  # fmt: skip
+        await p.line("started")
+        soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+        resource.setrlimit(resource.RLIMIT_NOFILE, (min(4096, hard), hard))
+        idle = [await asyncio.open_connection("127.0.0.1", p.port) for _ in range(200)]
+        asked = asyncio.Event()
+
+        async def back(head, body, writer):
+            asked.set()
+            await p.discovery_answer(head, body, writer)
+
+        p.discovery = Standin(back)
+        p.discovery.server = await asyncio.start_server(p.discovery._serve, "127.0.0.1", down)
+        await asyncio.wait_for(asked.wait(), 5)
+        await asyncio.sleep(0.06)  # a connection that is younger than 50 ms is left alone
+        assert (await p.ask(booking())).startswith(b"HTTP/1.1 200 ")
+        for _, writer in idle:
+            writer.close()
+        resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+
+    with_platform(tmp_path, scenario)
+
+
+def test_many_that_start_at_once_are_ready_in_time(tmp_path):
+    """Two on each core, as a fleet that restarts together; each has to answer its health call within 10 s."""
+
+    async def scenario(p):
+        entry = p.list()["servers"][0]
+        servers = [entry | {"id": f"s-{k}", "addr": f"127.0.1.{k % 250}:9"} for k in range(200)]
+        known = {"version": 1, "full": True, "servers": servers}
+        ports, processes, began = [], [], time.monotonic()
+        for k in range(16):
+            free = await asyncio.start_server(lambda r, w: None, "127.0.0.1", 0)
+            ports.append(free.sockets[0].getsockname()[1])
+            free.close()
+            path = tmp_path / f"c{k}.json"
+            page = {"listen": f"127.0.0.1:{ports[-1]}", "discovery": "127.0.0.1:9", "settings": OPTIONS}
+            path.write_bytes(orjson.dumps(page | {"known": known}))
+            processes.append(await launch(path))
+        try:
+            for port in ports:
+                p.port = port
+                while True:
+                    try:
+                        if (await p.ask(b"GET /_health HTTP/1.1\r\nHost: x\r\n\r\n")).startswith(b"HTTP/1.1 200"):
+                            break
+                    except OSError:
+                        await asyncio.sleep(0.01)
+            assert time.monotonic() - began < 10.0
+        finally:
+            for process in processes:
+                process.kill()
+                await process.wait()
+
+    with_platform(tmp_path, scenario)
