Connections rest after an answer, and lead only to where their backend listens now

Lines: backends.py told, _free, _place. Change: an endpoint with each connection; 20 ms of rest, for which the next request waits rather than open another; each that waits has one that rests or a dial of its own, also when one of them goes. Place is Endpoint, told notified. The test that 40 requests use 3 connections lets a connection rest between them.

--- a/rushweir/edge/backends.py
+++ b/rushweir/edge/backends.py
@@ -2,11 +2,16 @@
 
 A backend is known by its id in the list, never by its address, which another may inherit. A connection carries one
 request at a time; the one used last is used again first, so that the others grow old and are closed. Attempts that
-find none wait for one that is being opened, each for its own dial; what was not written never ran.
+find none wait for one that rests or is being opened, each for its own; what was not written never ran.
 
     dialing --dialed--> idle <--answer-- busy      any --> gone
                           +----write----->
 
+A connection that was just answered on rests for ``REST_MS`` first: a second answer to the request before may come
+some milliseconds late, and nothing in HTTP/1.1 says which request an answer is for. Connections and dials belong to
+where a backend listened and to its start: once it moved or started anew they carry nothing more, and what waited is
+decided anew.
+
 What is seen and what it proves (the platform's table):
 
     200, whole                                         ok
@@ -32,6 +37,7 @@
 
 DIALING, IDLE, BUSY, GONE = "dialing", "idle", "busy", "gone"
 MOST_LOAD = 16  # figures in a load report
+REST_MS = 20.0  # a copy comes "some milliseconds" late, by the platform's page: fewer than these
 
 
 @dataclass(frozen=True, slots=True)
@@ -45,7 +51,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Place:
+class Endpoint:
     """Where a backend listens, and when it last started."""
 
     host: str
@@ -62,10 +68,11 @@
 class Link:
     """One connection to a backend."""
 
-    __slots__ = ("backend", "conn", "idle_since", "job", "reader", "state", "unsent")
+    __slots__ = ("backend", "conn", "endpoint", "idle_since", "job", "reader", "rests_until", "state", "unsent")
 
     def __init__(self, conn: int, backend: Backend, now: float) -> None:
         self.conn, self.backend, self.state, self.idle_since = conn, backend, DIALING, now
+        self.endpoint, self.rests_until = backend.endpoint, now
         self.job: c.Attempt | Probe | None = None
         self.unsent = False  # bytes of the request are still on this side
         self.reader = AnswerReader()
@@ -74,7 +81,7 @@
 @dataclass(slots=True)
 class Backend:
     id: str
-    place: Place
+    endpoint: Endpoint
     ready: bool = True
     idle: list[Link] = field(default_factory=list)  # the one used last at the end
     links: set[Link] = field(default_factory=set)
@@ -88,11 +95,11 @@
     def __init__(
         self,
         settings: PoolSettings,
-        where: dict[str, Place],
+        where: dict[str, Endpoint],
         new_conn: Callable[[Any], int],
         at: Callable[[float, Callable[..., None], Any], None],
     ) -> None:
-        """``where``: the places of the backends of the list, kept up by who reads it."""
+        """``where``: the endpoints of the backends of the list, kept up by who reads it."""
         super().__init__(new_conn, at)
         self.settings, self.where_listed, self.sweeping = settings, where, False
         self.nodes: dict[str, Backend] = {}  # bounded by the list, and by the connections of those that left it
@@ -111,28 +118,27 @@
         self._place(probe)
         self.at(now + self.settings.probe_timeout_ms, self._probe_late, probe)
 
-    def told(self, now: float, servers: dict[str, i.State]) -> None:
+    def notified(self, now: float, servers: dict[str, i.State]) -> None:
         """The list as it now stands. What is not ready gets nothing that is not written yet."""
         self.now = now
         for name, state in servers.items():
-            place = self.where_listed.get(name)
-            if place is None:
+            endpoint = self.where_listed.get(name)
+            if endpoint is None:
                 continue
             b = self.nodes.get(name)
             if b is None:
-                b = self.nodes[name] = Backend(name, place)
-            if b.place != place:
-                # Started anew or moved: what is open leads to what was there before.
-                b.place = place
-                self._close_idle(b)
+                b = self.nodes[name] = Backend(name, endpoint)
+            if b.endpoint != endpoint:
+                # Started anew or moved: what is open or being opened leads to what was there before, and what waits
+                # was meant for that; a busy connection goes with its answer.
+                b.endpoint = endpoint
+                self._abandon(b)
             b.ready = state is i.State.READY
         for name, b in list(self.nodes.items()):
             if name not in servers:
                 b.ready = False
             if not b.ready:
-                while b.waiting:
-                    self._end(b.waiting.popleft(), i.Result.MOOT)
-                self._close_idle(b)
+                self._abandon(b)
                 self._forget(b)
         if not self.sweeping and self.nodes:
             self.sweeping = True
@@ -157,8 +163,8 @@
         b.dialing -= 1
         self.counts["dials_failed"] += 1
         self._drop(link)
-        # Each that waits has a dial of its own; connections that came free meanwhile took the oldest.
-        while len(b.waiting) > b.dialing:
+        # The dial was for one that waits; connections that came free meanwhile took the oldest.
+        while len(b.waiting) > b.dialing + len(b.idle):
             self._end(b.waiting.popleft(), i.Result.CONNECT_FAILED)
 
     def received(self, now: float, conn: int, data: bytes) -> None:
@@ -180,12 +186,13 @@
             return
         if answer is None:
             return
-        last = not answer.keep or link.reader.stray or link.unsent or not link.backend.ready
+        last = not answer.keep or link.reader.stray or link.unsent
         self.counts["strays"] += link.reader.stray
         self._finish(link, _result(answer), answer)
         if last:
             self._cut(link)
         else:
+            link.rests_until = now + REST_MS
             self._free(link)
 
     def lost(self, now: float, conn: int) -> None:
@@ -212,8 +219,7 @@
                 self._finish(link, i.Result.CANCELLED)
             self._cut(link)
         for b in self.nodes.values():
-            while b.waiting:
-                self._end(b.waiting.popleft(), i.Result.MOOT)
+            self._abandon(b)
 
     # --- inside ----------------------------------------------------------------------------------
 
@@ -222,32 +228,40 @@
         if b is None or not b.ready:
             self._end(job, i.Result.MOOT)
             return
-        while b.idle:
-            link = b.idle.pop()
-            if self._fresh(link):
+        for link in [k for k in b.idle if not self._fresh(k)]:
+            self._cut(link)
+        for link in reversed(b.idle):
+            if link.rests_until <= self.now:
+                b.idle.remove(link)
                 self._write(link, job)
                 return
-            self._cut(link)
-        if len(self.links) >= self.settings.most and not self._make_room():
-            self.counts["no_connection"] += 1
-            self._end(job, i.Result.MOOT)
-            return
         b.waiting.append(job)
         self.where[id(job)] = b
-        link = Link(0, b, self.now)
-        link.conn = self.new_conn(self)
-        self.links[link.conn] = link
-        b.links.add(link)
-        b.dialing += 1
-        self.counts["dials"] += 1
-        self.out.append(c.Dial(link.conn, b.place.host, b.place.port, self.settings.connect_timeout_ms))
+        self._provide(b)
+
+    def _provide(self, b: Backend) -> None:
+        """For each that waits there is a connection that rests, which is sooner than any dial, or a dial."""
+        for link in b.idle if b.waiting else ():
+            self.at(link.rests_until, self._rested, link)
+        while b.ready and len(b.waiting) > b.dialing + len(b.idle):
+            if len(self.links) >= self.settings.most and not self._make_room():
+                self.counts["no_connection"] += 1
+                self._end(b.waiting.pop(), i.Result.MOOT)
+                continue
+            link = Link(0, b, self.now)
+            link.conn = self.new_conn(self)
+            self.links[link.conn] = link
+            b.links.add(link)
+            b.dialing += 1
+            self.counts["dials"] += 1
+            self.out.append(c.Dial(link.conn, b.endpoint.host, b.endpoint.port, self.settings.connect_timeout_ms))
 
     def _fresh(self, link: Link) -> bool:
         return self.now - link.idle_since < i.IDLE_PART * self.settings.idle_ms
 
     def _make_room(self) -> bool:
         """All connections that may be open are: the longest idle one goes."""
-        idle = [b.idle[0] for b in self.nodes.values() if b.idle]
+        idle = [b.idle[0] for b in self.nodes.values() if b.idle and not b.waiting]
         if not idle:
             return False
         self.counts["made_room"] += 1
@@ -257,13 +271,25 @@
     def _free(self, link: Link) -> None:
         """A connection can carry the next request: one that waits for this backend, or none yet."""
         b = link.backend
-        if not b.ready:
+        if not b.ready or link.endpoint != b.endpoint:
             self._cut(link)
-        elif b.waiting:
-            self._write(link, b.waiting.popleft())
         else:
             link.state, link.idle_since = IDLE, self.now
             b.idle.append(link)
+            self._rested(link)
+
+    def _rested(self, link: Link) -> None:
+        """A connection may carry the next request: the oldest that waits and that somebody still waits for."""
+        b = link.backend
+        if link.state is IDLE and link.rests_until > self.now and b.waiting:
+            self.at(link.rests_until, self._rested, link)
+        while link.state is IDLE and link.rests_until <= self.now and b.waiting:
+            job = b.waiting.popleft()
+            if isinstance(job, Probe) or self.wanted(job):
+                b.idle.remove(link)
+                self._write(link, job)
+            else:
+                self._end(job, i.Result.MOOT)
 
     def _write(self, link: Link, job: c.Attempt | Probe) -> None:
         self.where[id(job)] = link
@@ -278,13 +304,17 @@
         self.out.append(c.Write(link.conn, data))
 
     def _give_up(self, job: c.Attempt | Probe, result: i.Result) -> None:
-        place = self.where.get(id(job))
-        if isinstance(place, Backend):
-            place.waiting.remove(job)
+        where = self.where.get(id(job))
+        if isinstance(where, Backend):
+            where.waiting.remove(job)
             self._end(job, i.Result.MOOT)
-        elif place is not None:
-            self._finish(place, i.Result.CONNECT_FAILED if place.unsent else result)
-            self._cut(place)
+        elif where is not None:
+            self._finish(where, i.Result.CONNECT_FAILED if where.unsent else result)
+            self._cut(where)
+
+    def _held_back(self, attempt: c.Attempt) -> bool:
+        where = self.where.get(id(attempt))
+        return isinstance(where, Backend) or (where is not None and where.unsent)
 
     def _finish(self, link: Link, result: i.Result, answer: Message | None = None) -> None:
         job, link.job = link.job, None
@@ -303,8 +333,12 @@
     def _probe_late(self, probe: Probe) -> None:
         self._give_up(probe, i.Result.TIMEOUT)  # nothing, if it ended
 
-    def _close_idle(self, b: Backend) -> None:
-        for link in list(b.idle):
+    def _abandon(self, b: Backend) -> None:
+        """Nothing more goes out on what is open or being opened; what waits never did."""
+        while b.waiting:
+            self._end(b.waiting.popleft(), i.Result.MOOT)
+        for link in [k for k in b.links if k.state in (DIALING, IDLE)]:
+            b.dialing -= link.state is DIALING
             self._cut(link)
 
     def _cut(self, link: Link) -> None:
@@ -320,6 +354,7 @@
         b.links.discard(link)
         if link in b.idle:
             b.idle.remove(link)
+            self._provide(b)
         self._forget(b)
 
     def _forget(self, b: Backend) -> None:
--- a/tests/edge/conftest.py
+++ b/tests/edge/conftest.py
@@ -7,7 +7,7 @@
 import pytest
 
 from rushweir import interface as i
-from rushweir.edge.backends import PoolSettings
+from rushweir.edge.backends import REST_MS, PoolSettings
 from rushweir.edge.setup import IDLE_MS, Setup
 from rushweir.ingress import commands as c
 from rushweir.ingress.core import Core
@@ -114,6 +114,8 @@
         """A client asks; its attempt goes out. Returns both connections."""
         conn = self.connect() if conn is None else conn
         orders = self.say(conn, data or request())
+        if not any(isinstance(o, c.Dial) or (isinstance(o, c.Write) and o.conn != conn) for o in orders):
+            orders = self.pass_ms(REST_MS)  # it waits for a connection that rests
         up = next((o.conn for o in orders if isinstance(o, c.Write) and b"Req-Deadline-Ms" in o.data), None)
         if up is None:
             up, _ = self.dial_up(orders)
