Nothing is sent for a client that left, and half a request is no idle connection

Seen by reading, each confirmed by a forced test on real sockets that failed before: an attempt that waited for a dial went out up to 0.25 s after its client had left (engine.client_left); a further attempt could begin while the client's FIN lay unread on the socket, or behind paused reading (clients.congested); a connection with part of a request read counted as spare, idle and quiet (clients._make_room, _idle_http, _leave_if_quiet); an answer with Connection: close took along what was sent ahead; a slow client's last answer was cut after a second; a dial given up kept its descriptor; a client that half-closed and took nothing kept its own for good. Found by the machine of all orders, not suspected: a client that left while a silent server had its attempt held room, place and connection for good (engine._deadline), and the unread FIN also has to be looked for when what waited is written.

--- a/rushweir/edge/front.py
+++ b/rushweir/edge/front.py
@@ -18,8 +18,8 @@
 from rushweir import interface as i
 from rushweir.edge.http import MOST_QUEUED, TOO_MANY, Malformed, Message, RequestReader
 from rushweir.fronts.states import CLOSING, HEAD, HTTP
+from rushweir.ingress.asks import Ask, Partner
 from rushweir.ingress.commands import Answer, Kind
-from rushweir.ingress.engine import Ask, Partner
 
 READY = b"/_health"
 CUSTOMER = re.compile(r"[0-9a-f]{16}\Z")
@@ -58,10 +58,11 @@
 
     def __init__(
         self, settings: i.Settings, health: Callable[[], tuple[int, Any]], closing: Callable[[], bool], kept: int,
+        now: Callable[[], float],
     ) -> None:  # fmt: skip
         """``closing`` tells whether connections are to be left as they are answered; above ``kept`` connections
-        that asked something they are left too."""
-        self.health, self.closing, self.kept = health, closing, kept
+        that asked something they are left too. ``now``: the time of the bytes that are being read."""
+        self.health, self.closing, self.kept, self.now = health, closing, kept, now
         self.spoken = 0  # connections that asked something and have not ended
         self.open: set[bytes] = set()  # bounded by the connections: each has one request under way
         self.adopt(settings)
@@ -80,7 +81,7 @@
     def __init__(self, shared: Shared) -> None:
         self.shared, self.reader = shared, RequestReader()
         self.state, self.end, self.leaving = HEAD, False, ""
-        self.queue: list[Message] = []
+        self.queue: list[tuple[Message, float]] = []  # whole, and when they were: a client's time counts from there
         self.fault: Malformed | None = None  # told when what came before it is answered
         self.current: bytes | None = None  # the id of the request under way
         self.keep = True  # whether the client wants the connection to last
@@ -102,8 +103,13 @@
         """The number of the message that has begun and is not whole; 0: none."""
         return self.reader.begun if self.reader.message is not None and not self.end else 0
 
+    @property
+    def engaged(self) -> bool:
+        """Whether a request is under way, waits, or has begun: its last byte may come in this very moment."""
+        return self.current is not None or self.backlog or self.partial > 0
+
     def spare(self, quiet_ms: float) -> bool:
-        return self.current is None and quiet_ms > QUIET_MS
+        return not self.engaged and quiet_ms > QUIET_MS
 
     def receive(self, data: bytes) -> list[tuple[bytes, Ask]]:
         """Take in bytes; returns the request that is under way from now on, if there is a new one."""
@@ -111,14 +117,14 @@
             return []
         if data and self.fault is None:
             try:
-                self.queue += self.reader.feed(data)
+                whole = self.reader.feed(data)
             except Malformed as fault:
-                self.queue += self.reader.done
-                self.fault = fault
+                whole, self.fault = self.reader.done, fault
+            self.queue += [(message, self.shared.now()) for message in whole]
             if len(self.queue) > MOST_QUEUED:
                 self.fault = Malformed(400, TOO_MANY)
         while self.current is None and self.queue and not self.end:
-            message = self.queue.pop(0)
+            message, came = self.queue.pop(0)
             self.state, self.keep = HTTP, message.keep
             self.shared.spoken += not self.spoke
             self.spoke = True
@@ -128,6 +134,7 @@
                 self._write(problem.status, str(problem).encode())
                 continue
             if ask is not None:
+                ask.since_ms = came
                 self.current = message.headers[b"req-id"]
                 self.shared.open.add(self.current)
                 return [(self.current, ask)]
@@ -232,7 +239,9 @@
         # Clients may hold only so many connections, and some ask once and keep theirs for good: those answered while
         # many are open go, so that others find one left.
         crowded = self.shared.spoken > self.shared.kept
-        last = not self.keep or crowded or bool(self.leaving) or self.shared.closing()
+        leave = crowded or bool(self.leaving) or self.shared.closing()
+        # Not while more was sent ahead, or has begun: the close would take it along.
+        last = not self.keep or (leave and not (self.queue or self.fault or self.partial))
         head = b"HTTP/1.1 %d %s\r\nContent-Length: %d\r\n%s%s\r\n" % (
             status, REASONS.get(status, "Error").encode(), len(body), more, b"Connection: close\r\n" if last else b"",
         )  # fmt: skip
@@ -271,7 +280,12 @@
         self._end()
         self.state = CLOSING
 
-    close = fail
+    def close(self, code: int, reason: str) -> None:
+        """The ingress goes away: who has begun a request is told that nothing was done; others see the end."""
+        if self.engaged:
+            self._last(503, reason.encode())
+        else:
+            self.fail(code, reason)
 
     def ping(self) -> None:
         """HTTP has no such word."""
--- a/rushweir/fronts/credentials.py
+++ b/rushweir/fronts/credentials.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 from hashlib import sha256
 
-from rushweir.ingress.engine import Partner
+from rushweir.ingress.asks import Partner
 
 # RFC 6750, 2.1: b64token = 1*( ALPHA / DIGIT / "-" / "." / "_" / "~" / "+" / "/" ) *"="
 BEARER = re.compile(r"(?i:bearer) +([A-Za-z0-9\-._~+/]{1,512}=*)\s*\Z")
--- a/rushweir/fronts/websocket.py
+++ b/rushweir/fronts/websocket.py
@@ -15,7 +15,6 @@
 
 import math
 from collections.abc import Callable
-from dataclasses import dataclass
 from typing import Any
 
 import h11
@@ -24,11 +23,11 @@
 from websockets.http11 import Request as HttpRequest
 
 from rushweir.costs import amounts
-from rushweir.costs.decisions import CostRules
 from rushweir.fronts.credentials import Credentials
+from rushweir.fronts.messages import BatchSlot, FrontSettings, Ref, is_utf8, number
 from rushweir.fronts.states import CLOSING, HEAD, HTTP, OPEN
+from rushweir.ingress.asks import Ask, Partner
 from rushweir.ingress.commands import Answer, Kind
-from rushweir.ingress.engine import Ask, Partner
 from rushweir.link import rpc
 from rushweir.link.websocket import Messages, server_protocol
 
@@ -37,37 +36,6 @@
 PARAMS = frozenset({"data", "key", "units", "within_ms"})
 
 
-@dataclass(frozen=True, slots=True)
-class FrontSettings:
-    """Bounds of one client connection; memory for it is at most a message, its open requests and ``buffer``."""
-
-    path: str = "/"
-    max_message: int = 262_144  # bytes, inflated
-    max_batch: int = 1000
-    max_open: int = 1024  # requests taken and not yet answered
-    buffer: int = 1_048_576  # bytes of answers that wait for a client that does not read
-    largest_units: float = 1.0
-    costs: CostRules | None = None  # what requests cost; None: each says it, ``units``
-
-
-class BatchSlot:
-    """The answers of one batch, sent as one array when the last is there."""
-
-    __slots__ = ("answers", "left")
-
-    def __init__(self) -> None:
-        self.answers: list[bytes] = []
-        self.left = 0
-
-
-@dataclass(slots=True)
-class Ref:
-    """Where an answer goes: the request's id, and the batch that it stands in."""
-
-    id: rpc.Id
-    batch: BatchSlot | None
-
-
 class ClientConnection:
     """One connection of the front. Bytes in by ``receive``; bytes out by ``take``; requests by ``asked``."""
 
@@ -109,6 +77,10 @@
         asked, self.asked = self.asked, []
         return asked
 
+    @property
+    def engaged(self) -> bool:
+        return bool(self.open_ids)
+
     def spare(self, quiet_ms: float) -> bool:
         """A partner's connection is never given up for another's."""
         return False
@@ -240,7 +212,7 @@
         try:
             message = rpc.read(text, self.settings.max_batch)
         except rpc.RpcError as problem:
-            if problem.code == rpc.PARSE_ERROR and isinstance(text, bytes) and not _is_utf8(text):
+            if problem.code == rpc.PARSE_ERROR and isinstance(text, bytes) and not is_utf8(text):
                 assert self.messages is not None  # RFC 6455, 8.1: text that is not UTF-8 fails the connection
                 self.messages.fail(CloseCode.INVALID_DATA, "text is not UTF-8")
                 return
@@ -255,7 +227,7 @@
         """All of a batch is answered in one array, so all of it is wanted by the earliest of its times."""
         slot = BatchSlot()
         slot.left = 1  # held while the batch is read, so that early answers don't send it
-        times = [_number(m.params.get("within_ms")) for m in batch.calls
+        times = [number(m.params.get("within_ms")) for m in batch.calls
                  if isinstance(m, rpc.Call) and isinstance(m.params, dict)]  # fmt: skip
         earliest = min((t for t in times if t is not None), default=None)
         for member in batch.calls:
@@ -303,10 +275,10 @@
         if unknown := [name for name in params if name not in PARAMS]:
             raise rpc.RpcError(rpc.INVALID_PARAMS, f"params.{unknown[0][:60]}: not known", call.id)
         within, units, key = params.get("within_ms"), params.get("units", 1), params.get("key")
-        if within is not None and not (_number(within) or 0) > 0:
+        if within is not None and not (number(within) or 0) > 0:
             raise rpc.RpcError(rpc.INVALID_PARAMS, "params.within_ms: a number above 0", call.id)
         most = self.settings.largest_units
-        if not 0 < (_number(units) or 0) <= most:
+        if not 0 < (number(units) or 0) <= most:
             raise rpc.RpcError(rpc.INVALID_PARAMS, f"params.units: a number above 0, {most:g} at most", call.id)
         if key is not None and not (type(key) is str and 0 < len(key) <= MOST_KEY):
             raise rpc.RpcError(
@@ -408,22 +380,3 @@
             self.end |= end
             raw += writes
         return raw, self.end
-
-
-def _number(value: Any) -> float | None:
-    """A JSON number as a finite float; None for anything else (true and false are no numbers here)."""
-    if type(value) is int or type(value) is float:
-        try:
-            number = float(value)
-        except OverflowError:
-            return None
-        return number if math.isfinite(number) else None
-    return None
-
-
-def _is_utf8(data: bytes) -> bool:
-    try:
-        data.decode()
-    except UnicodeDecodeError:
-        return False
-    return True
--- a/rushweir/ingress/clients.py
+++ b/rushweir/ingress/clients.py
@@ -8,7 +8,7 @@
 
 from rushweir.fronts.states import CLOSING, HEAD, HTTP
 from rushweir.ingress import commands as c
-from rushweir.ingress.engine import Ask
+from rushweir.ingress.asks import Ask
 
 if TYPE_CHECKING:
     from rushweir.ingress.core import Core
@@ -27,7 +27,7 @@
     since: float
     heard: int = 0
     asked: bool = False  # a ping is out
-    held: bool = False  # reading is paused: the client does not take its answers
+    held: bool = False  # answers wait: the client does not take them
     helds: int = 0  # how often that was so
     ended: bool = False
     quiet_at: float = 0.0  # when it last said something, or was answered
@@ -135,15 +135,13 @@
             # It asks and never reads: its answers would fill the memory that others need.
             self._unread(client)
         elif not client.held:
+            # Its bytes are read on all the same: with reading paused nobody saw that it left.
             client.held = True
             client.helds += 1
             self.engine.at(self.core.now + self.core.setup.unread_ms, self._still_held, (client, client.helds))
-            self.orders.append(c.PauseReading(client.conn, True))
 
     def drained(self, client: Client) -> None:
-        if client.held:
-            client.held = False
-            self.orders.append(c.PauseReading(client.conn, False))
+        client.held = False
 
     def _still_held(self, what: tuple[Client, int]) -> None:
         client, helds = what
@@ -181,7 +179,7 @@
         client, idle = what
         if client.ended or client.conn not in self.open:
             return
-        due = (self.core.now if client.front.open_ids else client.quiet_at) + idle
+        due = (self.core.now if client.front.engaged else client.quiet_at) + idle
         if due > self.core.now:
             self.engine.at(due, self._idle_http, what)
         else:
@@ -236,9 +234,11 @@
 
     def _leave_if_quiet(self, what: tuple[Client, int]) -> None:
         client, heard = what
-        if client.ended or client.conn not in self.open or client.front.open_ids:
+        if client.ended or client.conn not in self.open:
             return
-        self.leave(client) if client.heard == heard else self.leave_if_idle(client)
+        # A request that has begun becomes whole, and is answered, or is told in time that it did not.
+        quiet = client.heard == heard and not client.front.engaged
+        self.leave(client) if quiet else self.leave_if_idle(client)
 
     def leave(self, client: Client) -> None:
         """Going away, or, where it is only this client that must go, a policy's ground (RFC 6455, 7.4.1)."""
--- a/rushweir/ingress/commands.py
+++ b/rushweir/ingress/commands.py
@@ -36,6 +36,13 @@
     attempt: Attempt
 
 
+@dataclass(slots=True)
+class WithdrawAttempt:
+    """Nobody waits for it any more: what of it is not on its way to the node never goes."""
+
+    attempt: Attempt
+
+
 @dataclass(slots=True)
 class ExpireAttempt:
     """Its time is up: nothing of it may be written any more, and what comes back is late."""
@@ -156,12 +163,6 @@
     conn: int
 
 
-@dataclass(slots=True)
-class PauseReading:
-    conn: int
-    pause: bool
-
-
 @dataclass(slots=True)
 class Datagram:
     peer: int
@@ -205,17 +206,17 @@
 
 
 Command = (
-    SendAttempt | CancelAttempt | ExpireAttempt | Answer | TellPeer | CallCounter | ProbeNode
+    SendAttempt | CancelAttempt | WithdrawAttempt | ExpireAttempt | Answer | TellPeer | CallCounter | ProbeNode
     | WatchList | FetchList | Remark
 )  # fmt: skip
 Order = (
-    Dial | Write | CloseConn | AbortConn | PauseReading | Datagram | SaveList | SendTo | SaveFile | Peers
+    Dial | Write | CloseConn | AbortConn | Datagram | SaveList | SendTo | SaveFile | Peers
     | EndProcess | Remark
 )  # fmt: skip
 
 __all__ = [
     "AbortConn", "Answer", "Attempt", "CallCounter", "CancelAttempt", "CloseConn", "Command", "Datagram",
-    "Dial", "EndProcess", "Ended", "ExpireAttempt", "FetchList", "Kind", "Order", "PauseReading", "Peers",
+    "Dial", "EndProcess", "Ended", "ExpireAttempt", "FetchList", "Kind", "Order", "Peers",
     "ProbeEnded", "ProbeNode", "Remark", "SaveFile", "SaveList", "SendAttempt", "SendTo", "TellPeer", "WatchList",
-    "Write",
+    "WithdrawAttempt", "Write",
 ]  # fmt: skip
--- a/rushweir/ingress/core.py
+++ b/rushweir/ingress/core.py
@@ -46,12 +46,13 @@
         self.clients, self.nodes = Clients(self), Listed(self)
         self.parts = parts = setup.parts(self)
         self.pool, self.list, self.counter, self.peers = parts.pool, parts.list, parts.counter, parts.peers
-        self.fleet = parts.fleet
+        self.fleet, self.pool.wanted = parts.fleet, self.engine.wanted
         self.overload = Overload(setup.late_ms, setup.most_late_ms)
         self._value_classes()
         self.carry = {
             c.SendAttempt: lambda x: self.pool.send(self.now, x.attempt),
             c.CancelAttempt: lambda x: self.pool.cancel(self.now, x.attempt),
+            c.WithdrawAttempt: lambda x: self.pool.withdraw(self.now, x.attempt),
             c.ExpireAttempt: lambda x: self.pool.expire(self.now, x.attempt),
             c.Answer: self.clients.answer,
             c.TellPeer: self._tell_peer,
@@ -350,9 +351,12 @@
         self._run()
 
     def idle(self) -> bool:
-        """Whether nobody waits: no answer is owed, and each client was told to go, or came after the end began."""
-        return self.engine.ledger.owed == 0 and all(k.ended or k.front.state in (CLOSING, HEAD, HTTP)
-                                                    for k in self.clients.open.values())  # fmt: skip
+        """Whether nobody waits: no answer is owed, nobody is in the middle of a request, and each client was told to
+        go, or came after the end began."""
+        return self.engine.ledger.owed == 0 and all(
+            k.ended or (k.front.state in (CLOSING, HEAD, HTTP) and not k.front.partial)
+            for k in self.clients.open.values()
+        )
 
     def finish(self, now: float) -> None:
         """Close all connections: clients with 1001, "going away" (RFC 6455, 7.4.1). What is still owed is
--- a/rushweir/ingress/engine.py
+++ b/rushweir/ingress/engine.py
@@ -13,13 +13,13 @@
 import traceback
 from collections import Counter, deque
 from collections.abc import Callable
-from dataclasses import dataclass
 from heapq import heappop, heappush
 from math import ceil
 from typing import Any, Protocol
 
 from rushweir import interface as i
 from rushweir.ingress import commands as c
+from rushweir.ingress.asks import Ask, Partner
 from rushweir.ingress.ledger import ANSWER, DONE, LEFT, Entry, Ledger
 
 ENDING_MS = 5.0  # attempts end this long before their request's time, while the policy can still answer in time
@@ -47,27 +47,6 @@
     def over(self, now: float, entry: Entry) -> c.Remark | None: ...
 
 
-@dataclass(frozen=True, slots=True)
-class Partner:
-    """A customer as its requests are told to the policy: where its plan's quota is counted."""
-
-    name: str
-    plan: str
-    spread: int = 1  # ingresses that its requests may arrive through ...
-    first: int = 0  # ... counted round from this one
-
-
-@dataclass(slots=True)  # not frozen: one is made for each request, and freezing triples its cost
-class Ask:
-    """A request as a front understood it."""
-
-    cls: str
-    payload: Any  # what goes to the node, in the form of its front and pool
-    within_ms: float | None = None  # how long the client says that it waits; None: the class's deadline
-    units: float = 1.0
-    partner: Partner | None = None  # whose it is, where that is not the connection's affair
-
-
 class Engine:
     """The decisions of one ingress at work. Fetch what it wants done from ``out``, in order, after each call."""
 
@@ -93,6 +72,9 @@
         self.counts: Counter[str] = Counter()
         self.refusals: Counter[str] = Counter()
         self.faults = 0
+        # Whether a client's connection stands at this instant: its end may be there and not read yet, behind what a
+        # busy turn of the loop still does. Whoever has the sockets replaces it.
+        self.present: Callable[[int], bool] = lambda conn: True
         self.carry: dict[type, Callable[[Any], None]] = {
             i.Send: self._send,
             i.Refuse: self._refuse,
@@ -117,7 +99,7 @@
         """When ``advance`` has something to do; None: nothing waits."""
         timers = self.timers
         # The deadlines of requests that are answered are the bulk of what is set: no need to wake up for them.
-        while timers and timers[0][2] == self._deadline and timers[0][3].state is DONE:
+        while timers and timers[0][2] == self._deadline and timers[0][3].state is DONE and not timers[0][3].out:
             heappop(timers)
         return timers[0][0] if timers else None
 
@@ -151,7 +133,8 @@
         self.counts["requests"] += 1
         deadline = cls.deadline_ms if cls else 0.0
         within = deadline if ask.within_ms is None else min(ask.within_ms, deadline)
-        not_after = now + within - self.margin
+        # It counts from when the request came, which may have waited behind the one before it on its connection.
+        not_after = (now if ask.since_ms is None else ask.since_ms) + within - self.margin
         # From here on all times are the policy's: what the client's clock says is the margin's affair.
         why = "unknown_class" if cls is None else "ingress_full" if self.ledger.full() else ""
         if why or not_after <= now + ENDING_MS:
@@ -174,13 +157,25 @@
         self.now = now
         entries = self.ledger.of(conn)
         for entry in entries:
-            self.counts["left"] += 1
-            self.ledger.finish(entry, LEFT)
-            self.watch.answered(now, entry, "left", "")
-            self._over(entry)
-            self._tell(i.Gone(entry.rid))
+            self._left(entry)
         return len(entries)
 
+    def _left(self, entry: Entry) -> None:
+        """Nobody waits for a request: what is not on its way by now never goes out."""
+        self.counts["left"] += 1
+        self.ledger.finish(entry, LEFT)
+        self.watch.answered(self.now, entry, "left", "")
+        for attempt in entry.attempts:
+            if not attempt.ended:
+                self.out.append(c.WithdrawAttempt(attempt))
+        self._over(entry)
+        self._tell(i.Gone(entry.rid))
+
+    def wanted(self, attempt: c.Attempt) -> bool:
+        """Whether somebody waits for an attempt's request, at this very instant."""
+        entry = self.ledger.entries.get(attempt.rid)
+        return entry is not None and entry.state is not DONE and self.present(entry.conn)
+
     def give_up_all(self, now: float, why: str) -> int:
         """Answer all that is owed by what is known of it, since the ingress ends; returns how many there were."""
         self.now = now
@@ -283,9 +278,13 @@
         attempt = c.Attempt(entry.rid, n, action.server, self.now, until, entry.payload, entry.cls)
         limits = self.settings.limits
         twice = entry.out and not limits.second_copies
-        if entry.state is DONE or n >= limits.max_attempts or until <= self.now or twice:
+        gone = entry.state is not DONE and not self.present(entry.conn)
+        if gone or entry.state is DONE or n >= limits.max_attempts or until <= self.now or twice:
             # Not to be carried out: it ends as never sent, told apart from this answer, as on the bench.
-            self._odd("send", action.id)
+            if gone:
+                self._left(entry)
+            else:
+                self._odd("send", action.id)
             entry.attempts.append(attempt)
             attempt.ended, attempt.result, attempt.ended_ms = True, i.Result.MOOT.value, self.now
             self.at(self.now, self._moot, attempt)
@@ -382,12 +381,12 @@
 
     def _deadline(self, entry: Entry) -> None:
         """The client's time is up: what is out has timed out, which the policy answers; if it does not, the
-        facts do."""
-        if entry.state is DONE:
-            return
+        facts do. Where the client left before, what is still out ends too: a silent server would hold its place."""
         waiting = [a for a in entry.attempts if not a.ended]
         for attempt in waiting:
             self.out.append(c.ExpireAttempt(attempt))
+        if entry.state is DONE:
+            return
         # After those have come back: the commands before this one are carried out first.
         self.at(self.now, self._overdue, entry) if waiting else self._overdue(entry)
 
--- a/rushweir/ingress/listed.py
+++ b/rushweir/ingress/listed.py
@@ -55,7 +55,7 @@
         )
         self.core.engine.members(self.core.now, update.scope, servers)
         self.held = apply(self.held, Update(update.scope, update.version, servers))
-        self.core.pool.told(self.core.now, {a: s.state for a, s in self.held.items()})
+        self.core.pool.notified(self.core.now, {a: s.state for a, s in self.held.items()})
         self.core.watch.know_nodes(self.held)
 
     def _keep(self) -> None:
--- a/rushweir/ingress/membership.py
+++ b/rushweir/ingress/membership.py
@@ -20,8 +20,8 @@
 from rushweir.ingress import commands as c
 
 if TYPE_CHECKING:
+    from rushweir.ingress.asks import Partner
     from rushweir.ingress.core import Core
-    from rushweir.ingress.engine import Partner
 
 FILE = "fleet"  # in the state folder: what a seed voted for
 LOAD, LOAD_BYTES = 16, 48  # an entry of each ingress: what it answered and refused, what is open
--- a/rushweir/ingress/pool.py
+++ b/rushweir/ingress/pool.py
@@ -22,12 +22,25 @@
         self.ended: list[c.Ended | c.ProbeEnded] = []
         self.counts: Counter[str] = Counter()
         self.now = 0.0
+        # Whether somebody still waits for an attempt: it may have waited here for a while since it was sent.
+        self.wanted: Callable[[c.Attempt], bool] = lambda attempt: True
 
     def cancel(self, now: float, attempt: c.Attempt) -> None:
         """Stop waiting for an attempt. Whether its node stops too is the node's own affair."""
         self.now = now
         self._give_up(attempt, i.Result.CANCELLED)
 
+    def withdraw(self, now: float, attempt: c.Attempt) -> None:
+        """Nobody waits for it any more. What is on its way goes on: its node may be at work, and its connection
+        serves others; what is still here never goes out."""
+        self.now = now
+        if self._held_back(attempt):
+            self._give_up(attempt, i.Result.CANCELLED)
+
+    def _held_back(self, attempt: c.Attempt) -> bool:
+        """Whether some of an attempt is still on this side."""
+        raise NotImplementedError
+
     def expire(self, now: float, attempt: c.Attempt) -> None:
         """Its time is up."""
         self.now = now
--- a/rushweir/ingress/shell.py
+++ b/rushweir/ingress/shell.py
@@ -24,6 +24,8 @@
 
 HIGH_WATER = 65_536  # bytes that wait in a transport before the connection counts as congested
 READ_SIZE = 65_536
+LAST_BYTES_MS = 300.0  # for those who still have connections at the end
+MOST_LINGERS = 5  # times that a slow client gets its last bytes' time anew
 BACKLOG = 1024
 
 
@@ -72,7 +74,9 @@
         self.folder, self.list_file = folder, folder / "list.json" if folder is not None else None
         self.loop = asyncio.get_running_loop()
         self.transports: dict[int, asyncio.Transport] = {}
-        self.tasks: set[asyncio.Task] = set()  # dials
+        self.clients: dict[int, socket.socket] = {}  # the same descriptors as the transports', to look at
+        self.dials: dict[int, asyncio.Task] = {}
+        self.tasks: set[asyncio.Task] = set()  # files being written
         self.buffer = memoryview(bytearray(READ_SIZE))  # for every read: what it holds is taken at once
         self.timer: asyncio.TimerHandle | None = None
         self.timer_at = 0.0
@@ -81,12 +85,12 @@
         self.saving: bytes | None = None
         self.saver: asyncio.Task | None = None
         self.carrying = self.dead = False
+        core.engine.present = self.present
         self.carry = {
             c.Write: self._write,
             c.Dial: self._dial,
             c.CloseConn: self._close,
             c.AbortConn: self._abort,
-            c.PauseReading: self._pause,
             c.Datagram: self._datagram,
             c.SaveList: self._save,
             c.SendTo: self._send_to,
@@ -162,9 +166,10 @@
         answered = self.core.idle()
         self.core.finish(self.clock())
         self.carry_out()
-        for _ in range(20):  # the close frames go out
-            if not any(t.get_write_buffer_size() for t in self.transports.values()):
-                break
+        # The last bytes go out, and those who got them close: a socket that is closed here with bytes unread resets
+        # its connection, and what the other side has not read of its answer goes with it.
+        last = self.loop.time() + LAST_BYTES_MS / 1000
+        while self.clients and self.loop.time() < last:
             await asyncio.sleep(0.01)
         await self._leave_fleet()
         await self.kill()
@@ -200,7 +205,7 @@
             self.udp.close()
         for transport in self.transports.values():
             transport.abort()
-        tasks = list(self.tasks)
+        tasks = [*self.tasks, *self.dials.values()]
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
@@ -248,17 +253,32 @@
         if waiting > self.high_water:
             self.core.congested(self.clock(), order.conn, waiting)
 
+    def present(self, conn: int) -> bool:
+        """Whether a client's connection stands. Its end is looked for on the socket itself: in a turn of the loop
+        that takes long it may wait to be read behind what would still be sent on for it."""
+        sock = self.clients.get(conn)
+        if sock is None:
+            return True  # no connection of a client's, or one whose end the core was told of
+        try:
+            return sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT) != b""
+        except (BlockingIOError, InterruptedError):
+            return True  # nothing there to read
+        except OSError:
+            return False
+
     def _dial(self, order: c.Dial) -> None:
-        task = self.loop.create_task(self._connect(order))
-        self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
+        task = self.dials[order.conn] = self.loop.create_task(self._connect(order))
+        task.add_done_callback(lambda done: self._dial_over(order.conn, done))
 
     async def _connect(self, order: c.Dial) -> None:
-        try:
-            async with asyncio.timeout(order.timeout_ms / 1000):
-                await self.loop.create_connection(lambda: Connection(self, order.conn), order.host, order.port)
-        except (OSError, TimeoutError):
-            self.core.dial_failed(self.clock(), order.conn)
+        async with asyncio.timeout(order.timeout_ms / 1000):
+            await self.loop.create_connection(lambda: Connection(self, order.conn), order.host, order.port)
+
+    def _dial_over(self, conn: int, task: asyncio.Task) -> None:
+        """Given up by the core, too: its descriptor is free then, and not when the other side would have answered."""
+        del self.dials[conn]
+        if task.cancelled() or task.exception() is not None:
+            self.core.dial_failed(self.clock(), conn)
             self.carry_out()
 
     def _close(self, order: c.CloseConn) -> None:
@@ -270,10 +290,20 @@
             return
         with contextlib.suppress(OSError, RuntimeError):
             transport.write_eof()
-        transport.resume_reading()
-        self.loop.call_later(order.within_ms / 1000, transport.abort)
+        self.loop.call_later(order.within_ms / 1000, self.linger, transport, order.within_ms, MOST_LINGERS)
+
+    def linger(self, transport: asyncio.Transport, within_ms: float, left: int, before: int | None = None) -> None:
+        """The time for a connection's last bytes is over. While some of them still wait on this side, fewer than
+        ``before``, it gets as much time again, ``left`` times at most: a slow client is owed the whole answer."""
+        waiting = transport.get_write_buffer_size()
+        if waiting and left and (before is None or waiting < before):
+            self.loop.call_later(within_ms / 1000, self.linger, transport, within_ms, left - 1, waiting)
+        else:
+            transport.abort()
 
     def _abort(self, order: c.AbortConn) -> None:
+        if (dial := self.dials.get(order.conn)) is not None:
+            dial.cancel()
         transport = self.transports.pop(order.conn, None)
         if transport is not None:
             # The transport closes in the loop's next turn. What follows in this one may be the same request's
@@ -282,11 +312,6 @@
                 transport.get_extra_info("socket").shutdown(socket.SHUT_RDWR)
             transport.abort()
 
-    def _pause(self, order: c.PauseReading) -> None:
-        transport = self.transports.get(order.conn)
-        if transport is not None:
-            transport.pause_reading() if order.pause else transport.resume_reading()
-
     def _datagram(self, order: c.Datagram) -> None:
         address = self.peers.get(order.peer)
         if self.udp is not None and address is not None and not self.udp.is_closing():
--- a/rushweir/ingress/transports.py
+++ b/rushweir/ingress/transports.py
@@ -11,6 +11,9 @@
     from rushweir.ingress.shell import Shell
 
 
+HALF_CLOSED_S = 1.0  # for the last bytes to a client that ended its sending
+
+
 class Sender:
     """The datagram socket of an ingress that only sends any more. (A transport can't stop reading.)"""
 
@@ -34,6 +37,7 @@
 
     def __init__(self, shell: Shell, conn: int | None = None) -> None:
         self.shell, self.conn, self.ended = shell, conn, False
+        self.transport: asyncio.Transport | None = None  # of a client
 
     def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
         shell = self.shell
@@ -42,6 +46,10 @@
             where = transport.get_extra_info("peername") or ("",)
             self.conn = shell.core.accepted(shell.clock(), where[0])
             shell.transports[self.conn] = transport
+            self.transport = transport
+            sock = transport.get_extra_info("socket")
+            # The transport's own descriptor, to be looked at without reading from it; given back before it closes.
+            shell.clients[self.conn] = socket.socket(sock.family, sock.type, sock.proto, fileno=sock.fileno())
         elif self.conn in shell.core.ups:
             shell.transports[self.conn] = transport
             shell.core.dialed(shell.clock(), self.conn)
@@ -59,6 +67,9 @@
         shell.carry_out()
 
     def eof_received(self) -> bool:
+        if self.transport is not None and self.transport.get_write_buffer_size():
+            # A client that only ended its sending, and takes nothing, would hold its descriptor for good.
+            self.shell.loop.call_later(HALF_CLOSED_S, self.transport.abort)
         self._end()
         return False  # what waits to be written still goes out, then the transport closes
 
@@ -69,6 +80,8 @@
         if not self.ended:
             self.ended, shell = True, self.shell
             shell.transports.pop(self.conn, None)
+            if (sock := shell.clients.pop(self.conn, None)) is not None:
+                sock.detach()
             shell.core.ended(shell.clock(), self.conn)
             shell.carry_out()
 
--- a/rushweir/nodes/pool.py
+++ b/rushweir/nodes/pool.py
@@ -13,9 +13,7 @@
 
 from __future__ import annotations
 
-from collections import OrderedDict
 from collections.abc import Callable
-from dataclasses import dataclass, field
 from typing import Any
 
 from websockets.frames import CloseCode
@@ -25,60 +23,15 @@
 from rushweir.ingress.pool import BasePool
 from rushweir.link import rpc
 from rushweir.link.websocket import Messages, client_protocol
+from rushweir.nodes.answers import ended
+from rushweir.nodes.answers import load as load_of
+from rushweir.nodes.links import CLOSING, DIALING, GONE, HANDSHAKE, OPEN, Link, Node, PoolSettings
 
-DIALING, HANDSHAKE, OPEN, CLOSING, GONE = "dialing", "handshake", "open", "closing", "gone"
 MOST_LATE = 2048  # ids that a connection remembers after their attempts were given up, to know late answers
 CANCEL = "rpc.cancel"  # a notification: names that begin with "rpc." are for extensions (JSON-RPC 2.0, 8)
 PROBE = "rpc.probe"
 
 
-@dataclass(frozen=True, slots=True)
-class PoolSettings:
-    streams: int = 32  # attempts on one connection at once
-    max_links: int = 8  # connections to one node
-    connect_timeout_ms: float = 250.0  # from the dial to the end of the handshake
-    idle_ms: float = 15_000.0
-    ping_ms: float = 5_000.0  # with attempts out and nothing heard: a ping, and the end when it is not answered
-    probe_timeout_ms: float = 250.0
-    grace_ms: float = 1_000.0  # after a node drains or is gone, nothing more is written to it
-    max_message: int = 1_048_576
-    path: str = "/node"
-
-
-class Link:
-    """One connection to a node."""
-
-    __slots__ = (
-        "born", "conn", "heard", "idle_since", "late", "messages", "node", "pinged", "probes", "serial", "state",
-        "streams", "waiting", "writable",
-    )  # fmt: skip
-
-    def __init__(self, conn: int, node: Node, now: float, messages: Messages) -> None:
-        self.conn, self.node, self.born, self.messages = conn, node, now, messages
-        self.state, self.writable, self.serial = DIALING, True, 0
-        self.waiting: OrderedDict[int, c.Attempt] = OrderedDict()  # not handed over yet, by their identity
-        self.streams: dict[int, c.Attempt] = {}  # handed over, by the id on the wire
-        self.late: OrderedDict[int, c.Attempt] = OrderedDict()  # given up, an answer may still come
-        self.probes: dict[int, float] = {}  # when each was sent
-        self.idle_since, self.heard, self.pinged = now, 0, False
-
-    @property
-    def load(self) -> int:
-        return len(self.waiting) + len(self.streams)
-
-
-@dataclass(slots=True)
-class Node:
-    """A node as the pool knows it."""
-
-    address: str
-    links: list[Link] = field(default_factory=list)
-    closed_at: float | None = None  # when it was told to drain or gone
-    strays: int = 0
-    late: int = 0
-    dial_failures: int = 0
-
-
 class Pool(BasePool):
     """All nodes of one ingress. ``out`` holds orders for the shell, ``ended`` what became of attempts."""
 
@@ -132,7 +85,7 @@
         self._flush(link)
         self.at(now + self.settings.probe_timeout_ms, self._probe_late, (link, link.serial))
 
-    def told(self, now: float, servers: dict[str, i.State]) -> None:
+    def notified(self, now: float, servers: dict[str, i.State]) -> None:
         """The list as it now stands: what is not ready, or not in it, gets nothing after the grace."""
         self.now = now
         for address, state in servers.items():
@@ -261,11 +214,11 @@
 
     def _hand_over(self, link: Link) -> None:
         """Give what waits to the connection, oldest first. From here on an attempt may have run."""
-        cut_off = link.waiting and self._cut_off(link.node)
+        cut_off = bool(link.waiting) and self._cut_off(link.node)
         while link.waiting and len(link.streams) < self.settings.streams:
             _, attempt = link.waiting.popitem(last=False)
-            if cut_off:
-                self.counts["cut_off"] += 1
+            if cut_off or not self.wanted(attempt):
+                self.counts["cut_off"] += cut_off
                 self._end(attempt, i.Result.MOOT)
                 continue
             link.serial += 1
@@ -295,7 +248,7 @@
             spent = self.now - link.probes.pop(reply.id)
             load = reply.result.get("load") if isinstance(reply.result, dict) else None
             result = i.Result.OK if reply.error is None else i.Result.ERROR
-            self.ended.append(c.ProbeEnded(link.node.address, result, spent, _load(load)))
+            self.ended.append(c.ProbeEnded(link.node.address, result, spent, load_of(load)))
             return
         attempt = link.streams.pop(reply.id, None) if isinstance(reply.id, int) else None
         if attempt is None:
@@ -333,6 +286,10 @@
         if link.waiting and link.state is OPEN and link.writable:
             self._hand_over(link)
 
+    def _held_back(self, attempt: c.Attempt) -> bool:
+        link = self.where.get(id(attempt))
+        return link is not None and id(attempt) in link.waiting
+
     def _end(self, attempt: c.Attempt, result: i.Result) -> None:
         self.where.pop(id(attempt), None)
         self.ended.append(c.Ended(attempt, result))
@@ -416,41 +373,3 @@
                 link.messages.close(CloseCode.GOING_AWAY, "ingress stops")
                 self._flush(link)
             self._gone(link)
-
-
-def ended(attempt: c.Attempt, reply: rpc.Reply) -> c.Ended:
-    """What a node's answer says of its attempt."""
-    if reply.error is None:
-        value = reply.result if isinstance(reply.result, dict) else {"data": reply.result}
-        return c.Ended(
-            attempt, i.Result.OK, ("result", value.get("data")), _count(value.get("used")),
-            _amount(value.get("cost")), _load(value.get("load")),
-        )  # fmt: skip
-    code = reply.error["code"]
-    if code == rpc.NODE_FULL:
-        return c.Ended(attempt, i.Result.FULL, used=_told(reply.error, "used"))
-    if code in rpc.SERVER_RANGE or code in (rpc.INTERNAL_ERROR, rpc.PARSE_ERROR, rpc.INVALID_REQUEST):
-        return c.Ended(attempt, i.Result.ERROR, used=_told(reply.error, "used"))
-    # Any other code is the application's own answer ("no such ride"): the node did its work, and the client
-    # is told what it said.
-    return c.Ended(attempt, i.Result.OK, ("error", reply.error))
-
-
-def _told(error: dict[str, Any], name: str) -> int:
-    data = error.get("data")
-    return _count(data.get(name)) if isinstance(data, dict) else 0
-
-
-def _count(value: Any) -> int:
-    return value if type(value) is int and 0 <= value < 1 << 31 else 0
-
-
-def _amount(value: Any) -> float:
-    """A cost; nothing told where it is no sensible figure, so that one bad answer can't empty a store."""
-    return float(value) if type(value) in (int, float) and 0 < value < 1e9 else 0.0
-
-
-def _load(value: Any) -> dict[str, float] | None:
-    if not isinstance(value, dict) or len(value) > 16:
-        return None
-    return {k: float(v) for k, v in value.items() if type(v) in (int, float)}
--- a/tests/edge/test_clients.py
+++ b/tests/edge/test_clients.py
@@ -2,13 +2,16 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from rushweir.edge.backends import REST_MS
 from rushweir.edge.front import Shared
 from rushweir.ingress import commands as c
-from tests.edge.conftest import Edge, answer, booking, request
+from tests.edge.conftest import SETTINGS, Edge, answer, booking, request
 
 
 def test_a_request_is_served_with_the_backends_body(edge):
@@ -110,6 +113,7 @@
 def test_what_is_sent_ahead_is_answered_in_order(edge):
     conn, up = edge.sent(request("one") + request("two"))
     edge.say(up, answer(b"1"))
+    edge.pass_ms(REST_MS)  # of the connection to the backend
     second = [o for o in edge.seen if isinstance(o, c.Write) and b"Req-Id: two" in o.data]
     edge.say(second[0].conn, answer(b"2"))
     assert edge.statuses(conn) == [200, 200] and edge.written(conn).endswith(b"2")
@@ -234,3 +238,26 @@
     for conn in open_now:
         edge.core.ended(edge.now, conn)
     assert edge.core.parts.shared.spoken == 0
+
+
+def test_what_was_sent_ahead_is_answered_before_an_ending_ingress_closes(edge):
+    """The answer to the first said that the connection closes, and took the second along."""
+    conn, up = edge.sent(request("one") + request("two"))
+    edge.core.leave(edge.now, edge.core.setup.settings)
+    edge.turn()
+    edge.say(up, answer(b"1"))
+    edge.pass_ms(REST_MS)
+    second = next(o for o in edge.seen if isinstance(o, c.Write) and b"Req-Id: two" in o.data)
+    edge.say(second.conn, answer(b"2"))
+    assert edge.statuses(conn) == [200, 200] and conn in edge.closed
+    assert edge.written(conn).count(b"Connection: close") == 1
+
+
+def test_a_reload_with_other_peers_knows_them_and_forgets_the_old():
+    """Datagrams of the old ones counted under numbers that were others' by then."""
+    a, b, new = ("10.0.0.1", 7946), ("10.0.0.2", 7946), ("10.0.0.9", 7946)
+    sharing = replace(SETTINGS, gateways=2, sharing=replace(SETTINGS.sharing, peers=True))
+    edge = Edge(sharing, peers=(a, b))
+    edge.core.reload(edge.now, replace(edge.core.setup, peers=(a, new)))
+    assert c.Peers({0: a, 1: new}) in edge.turn()
+    assert edge.core.peers.unpack(0.0, b"x", b) is None and edge.core.peers.unpack(0.0, b"x", new) == (1, "x")
--- /dev/null
+++ b/tests/edge/test_owed.py
@@ -0,0 +1,146 @@
+"""Under all orders of what may happen nothing owed is lost; and each property can fail: a planted fault breaks it."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import pytest
+from hypothesis import HealthCheck, Phase, settings
+from hypothesis.stateful import run_state_machine_as_test
+
+from rushweir import interface as i
+from rushweir.edge.backends import Endpoint, Link, Pool
+from rushweir.edge.front import ClientConnection
+from rushweir.ingress.clients import Clients
+from rushweir.ingress.engine import Engine
+from rushweir.policy.decide import Policy
+from rushweir.policy.quota import Quota
+from rushweir.state import Parts
+from tests.edge.owed import Orders
+
+QUIET = [HealthCheck.too_slow, HealthCheck.data_too_large, HealthCheck.filter_too_much]
+SURE = settings(max_examples=150, stateful_step_count=40, deadline=None, derandomize=True, database=None,
+                suppress_health_check=QUIET)  # fmt: skip
+HUNT = settings(SURE, max_examples=400, phases=[Phase.generate], report_multiple_bugs=False)
+
+
+def test_nothing_owed_is_lost():
+    run_state_machine_as_test(Orders, settings=SURE)
+
+
+def two_attempts(monkeypatch):
+    """An attempt given up leaves its connection, and its request, at the backend for a while."""
+    real = Pool._give_up
+
+    def give_up(self, job, result):
+        where = self.where.get(id(job))
+        if isinstance(where, Link):
+            self._finish(where, result)
+            self.at(self.now + 1000.0, self._cut, where)
+        else:
+            real(self, job, result)
+
+    monkeypatch.setattr(Pool, "_give_up", give_up)
+
+
+def repeats_all(monkeypatch):
+    real = Policy.again
+
+    def again(self, t):
+        t.ran = None
+        return real(self, t)
+
+    monkeypatch.setattr(Policy, "again", again)
+
+
+def repeats_late(monkeypatch):
+    real = Policy.again
+
+    def again(self, t):
+        t.cls = replace(t.cls, window_ms=1e9)
+        return real(self, t)
+
+    monkeypatch.setattr(Policy, "again", again)
+
+
+def deaf_to_drains(monkeypatch):
+    real = Pool.notified
+    ready = i.State.READY
+    monkeypatch.setattr(Pool, "notified", lambda self, now, servers: real(
+        self, now, dict.fromkeys([*servers, *(n for n in self.nodes if n in self.where_listed)], ready)
+    ))  # fmt: skip
+
+
+def keeps_old_connections(monkeypatch):
+    """What is open to a backend before its new start goes on carrying its requests."""
+    monkeypatch.setattr(Pool, "_abandon", lambda self, b: None)
+    monkeypatch.setattr(Endpoint, "__eq__", lambda a, b: a.host == b.host)
+
+
+def no_rest(monkeypatch):
+    monkeypatch.setattr("rushweir.edge.backends.REST_MS", 0.0)
+
+
+def forgets_halves(monkeypatch):
+    monkeypatch.setattr(ClientConnection, "engaged", property(lambda self: self.current is not None))
+
+
+def sends_for_nobody(monkeypatch):
+    monkeypatch.setattr(Pool, "_held_back", lambda self, attempt: False)
+    monkeypatch.setattr(Engine, "wanted", lambda self, attempt: True)
+
+
+def trusts_the_loop(monkeypatch):
+    real = Engine._send
+
+    def send(self, action):
+        self.present = lambda conn: True
+        real(self, action)
+
+    monkeypatch.setattr(Engine, "_send", send)
+
+
+def keeps_room(monkeypatch):
+    monkeypatch.setattr(Parts, "give_back", lambda self, grant: None)
+
+
+def keeps_places(monkeypatch):
+    monkeypatch.setattr(Quota, "settle", lambda self, t, more, over: None)
+
+
+def answers_nobody(monkeypatch):
+    real = Clients.answer
+    monkeypatch.setattr(Clients, "answer", lambda self, a: real(self, a) if a.kind != "refused" else None)
+
+
+def answers_twice(monkeypatch):
+    real = ClientConnection.answer
+
+    def answer(self, a):
+        real(self, a)
+        self.current = a.ref
+        real(self, a)
+
+    monkeypatch.setattr(ClientConnection, "answer", answer)
+
+
+def keeps_descriptors(monkeypatch):
+    monkeypatch.setattr(Pool, "_sweep", lambda self, _: None)
+
+
+PLANTED = {
+    two_attempts: "two attempts out|carries another", repeats_all: "repeated|refused as harmless",
+    repeats_late: "repeated past its window", deaf_to_drains: "told to drain", keeps_old_connections: "older than",
+    no_rest: "served with", forgets_halves: "0 answers", sends_for_nobody: "after its client left",
+    trusts_the_loop: "after its client left", keeps_room: "room held", keeps_places: "places held",
+    answers_nobody: "0 answers|an answer to nothing", 
+    answers_twice: "an answer to nothing|2 answers|after its answer",
+    keeps_descriptors: "connections to backends held",
+}  # fmt: skip
+
+
+@pytest.mark.parametrize("plant", PLANTED, ids=lambda p: p.__name__)
+def test_a_planted_fault_is_found(monkeypatch, plant):
+    plant(monkeypatch)
+    with pytest.raises(AssertionError, match=PLANTED[plant]):
+        run_state_machine_as_test(Orders, settings=HUNT)
--- a/tests/ingress/conftest.py
+++ b/tests/ingress/conftest.py
@@ -13,8 +13,8 @@
 from rushweir import interface as i
 from rushweir.fronts.credentials import Credentials, digest
 from rushweir.fronts.websocket import FrontSettings
+from rushweir.ingress.asks import Partner
 from rushweir.ingress.core import Core
-from rushweir.ingress.engine import Partner
 from rushweir.ingress.shell import Clock, Shell
 from rushweir.ingress.websocket import Setup
 from rushweir.lab.records import Recorder
--- a/tests/ingress/test_engine.py
+++ b/tests/ingress/test_engine.py
@@ -8,7 +8,8 @@
 
 from rushweir import interface as i
 from rushweir.ingress import commands as c
-from rushweir.ingress.engine import Ask, Engine, Partner
+from rushweir.ingress.asks import Ask, Partner
+from rushweir.ingress.engine import Engine
 from rushweir.ingress.ledger import Entry, Ledger, LedgerError
 from rushweir.watch.watch import Watch
 
@@ -172,12 +173,24 @@
     (send,) = take(engine)
     assert engine.client_left(5.0, 1) == 1 and engine.client_left(5.0, 1) == 0
     assert policy.seen[-1] == i.Gone("b-1") and len(engine.ledger.entries) == 1
+    assert drain(engine) == [c.WithdrawAttempt(send.attempt)]  # what is not on its way never goes
     engine.outcome(9.0, send.attempt, i.Result.OK, ("result", 1))
     assert not drain(engine) and policy.seen[-1].settled and not engine.ledger.entries
     engine.outcome(10.0, send.attempt, i.Result.OK)  # a second outcome is none
     assert engine.counts["stray_outcomes"] == 1
 
 
+def test_an_attempt_outlives_its_client_to_the_deadline_and_no_longer(made):
+    """A silent server held room, place and connection of a client that had left, for good."""
+    engine, _ = made
+    (send,) = take(engine)
+    engine.client_left(5.0, 1)
+    drain(engine)
+    assert engine.next_at() == 970.0
+    engine.advance(970.0)
+    assert drain(engine) == [c.ExpireAttempt(send.attempt)]
+
+
 def test_the_ledger_refuses_steps_that_it_does_not_know():
     ledger = Ledger(5)
     entry = Entry("r", 1, None, "look", "c", 1.0, 0.0, 10.0, {})
--- a/tests/ingress/test_reload.py
+++ b/tests/ingress/test_reload.py
@@ -7,7 +7,7 @@
 
 from rushweir import interface as i
 from rushweir.fronts.credentials import Credentials, digest
-from rushweir.ingress.engine import Partner
+from rushweir.ingress.asks import Partner
 from rushweir.lab.standins.client import kind
 from rushweir.lab.standins.model import NodeKind
 from rushweir.link.networks import AddressSet, network
--- a/tests/nodes/test_pool.py
+++ b/tests/nodes/test_pool.py
@@ -230,25 +230,25 @@
 
 def test_nothing_is_written_after_the_grace_of_a_drain():
     w = Wire(grace_ms=1000.0, max_links=1)
-    w.pool.told(0.0, {NODE: i.State.READY})
+    w.pool.notified(0.0, {NODE: i.State.READY})
     w.attempt()
     conn = w.up()
     w.pool.congested(conn)
     w.now = 100.0
     w.attempt()  # waits for the connection
-    w.pool.told(100.0, {NODE: i.State.DRAINING})
-    w.pool.told(900.0, {NODE: i.State.DRAINING})  # told again: the first time counts
+    w.pool.notified(100.0, {NODE: i.State.DRAINING})
+    w.pool.notified(900.0, {NODE: i.State.DRAINING})  # told again: the first time counts
     w.pool.drained(1100.0, conn)
     w.carry()
     assert w.results() == [i.Result.MOOT] and len(w.calls) == 1
     w.now = 1200.0
     w.attempt()
     assert w.results() == [i.Result.MOOT]
-    w.pool.told(1300.0, {})  # gone from the list
+    w.pool.notified(1300.0, {})  # gone from the list
     w.now = 1301.0
     w.attempt()
     assert w.results() == [i.Result.MOOT]
-    w.pool.told(1400.0, {NODE: i.State.READY})
+    w.pool.notified(1400.0, {NODE: i.State.READY})
     w.now = 1400.0
     w.attempt()
     assert len(w.calls) == 2
@@ -303,6 +303,6 @@
         a = w.attempt(node=f"10.0.0.{k % 250}:80")
         w.pool.dial_failed(w.now, w.dials[-1].conn)
         assert w.results() == [i.Result.CONNECT_FAILED] and a
-    w.pool.told(1000.0, {})
-    w.pool.told(1000.0 + 62_000.0, {})
+    w.pool.notified(1000.0, {})
+    w.pool.notified(1000.0 + 62_000.0, {})
     assert not w.pool.nodes and not w.pool.links and not w.pool.where
--- a/tests/watch/test_watch.py
+++ b/tests/watch/test_watch.py
@@ -8,8 +8,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from rushweir.ingress.asks import Ask
 from rushweir.ingress.commands import Attempt, Kind
-from rushweir.ingress.engine import Ask
 from rushweir.ingress.ledger import Entry
 from rushweir.watch.courses import Course, Courses
 from rushweir.watch.heaviest import Heaviest
