A start's room counts a cold server by its warmth, so that none gets more than it may

Need: beyond the N calls that the settings allow a cold server only 2 roots of N + 2 from all processes together are chance. Ruled out: the lot (mean and spread are those of warm ones times warmth), late words, uneven traffic. Line at fault: room.py partition, whose presumed rate of a start (START_RATE) went by the number of ready servers, cold or warm.

--- a/rushweir/policy/decide.py
+++ b/rushweir/policy/decide.py
@@ -45,7 +45,7 @@
             case i.Outcome():
                 return self.outcome(event)
             case i.Timer(ref=0):
-                self.room.partition(len(self.fleet.ready), self.now)
+                self.room.partition(self.fleet.able(self.now), self.now)
                 return [*self.quota.tick(self.now), i.SetTimer(0, TICK_MS)]
             case i.Timer(ref=1):
                 return [i.Watch()]
@@ -56,7 +56,7 @@
                 return [a for t, told in answers for a in self.decide(t, told)]
             case i.Members():
                 self.fleet.update(event, self.now)
-                self.room.partition(len(self.fleet.ready), self.now)
+                self.room.partition(self.fleet.able(self.now), self.now)
                 return [i.SetTimer(1, SILENT_MS)] * (event.scope is i.Scope.FAILED and self.s.ask_discovery)
             case i.Part():
                 self.quota.lend(event, self.now)
--- a/rushweir/policy/room.py
+++ b/rushweir/policy/room.py
@@ -53,8 +53,8 @@
         ranges = max(1, math.ceil(math.log2(max(lengths) / min(lengths)) - 1e-9))
         return min(int(math.log2(self.length[name].value / min(lengths))), ranges - 1)
 
-    def partition(self, ready: int, now: float) -> None:
-        """B and its parts, by f2: popularity (units asked) times length."""
+    def partition(self, ready: float, now: float) -> None:
+        """B and its parts, by f2: popularity (units asked) times length; a cold server is ready by its warmth."""
         f2 = {n: (r.total(now) + PRIOR) * self.length[n].value for n, r in self.asked.items()}
         ranges, whole = {n: self.range_of(n) for n in f2}, sum(f2.values())
         aim = sum(f2[n] * self.classes[n].aim_ms for n in f2) / whole / 1000
--- a/rushweir/policy/servers.py
+++ b/rushweir/policy/servers.py
@@ -44,6 +44,9 @@
         done = min(1.0, max(0.0, now - since) / r.cold_ms) if since and r.cold_ms else 1.0
         return r.cold_share + (1 - r.cold_share) * done
 
+    def able(self, now: float) -> float:
+        return sum(self.warmth(b, now) for b in self.ready)
+
     def bar(self, least: float, now: float) -> float:
         return max(least, STANDS_OUT * self.whole.fail(now))
 
