--- a/rushweir/edge/backends.py
+++ b/rushweir/edge/backends.py
@@ -337,7 +337,7 @@
         """Nothing more goes out on what is open or being opened; what waits never did."""
         while b.waiting:
             self._end(b.waiting.popleft(), i.Result.MOOT)
-        for link in [k for k in b.links if k.state in (DIALING, IDLE)]:
+        for link in sorted((k for k in b.links if k.state in (DIALING, IDLE)), key=lambda k: k.conn):
             b.dialing -= link.state is DIALING
             self._cut(link)
 
--- a/tests/edge/live.py
+++ b/tests/edge/live.py
@@ -86,6 +86,14 @@
         self.clients.append(sock)
         return sock
 
+    async def slow_client(self):
+        """A client that takes little at a time: its socket, and the core's and the shell's side of it."""
+        sock = await self.client(receive=4096)
+        client = self.core.clients.open[max(self.core.clients.open)]
+        transport = self.shell.transports[client.conn]
+        transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        return sock, client, transport
+
     async def until(self, done, seconds=10.0):
         async with asyncio.timeout(seconds):
             while not done():
--- a/tests/edge/test_backends.py
+++ b/tests/edge/test_backends.py
@@ -269,3 +269,16 @@
     assert any(isinstance(o, c.Write) and o.conn == up and b"Req-Id: two" in o.data for o in orders)
     edge.say(up, answer())
     assert edge.statuses(other) == [200]
+
+
+def test_connections_that_go_together_go_in_one_order():
+    """They lay in a set, whose order is another in each process: equal events have to give equal orders."""
+    edge = Edge(known=LIST | {"servers": LIST["servers"][:1]})
+    edge.policy.room.finished.add(400.0, edge.now)
+    edge.policy.room.partition(1, edge.now)
+    for n in range(12):
+        edge.say(edge.connect(), request(f"r{n}"))
+    dials = [o.conn for o in edge.seen if isinstance(o, c.Dial) and o.port == 80]
+    assert len(dials) > 5
+    orders = change(edge, 8, **{"1": "Terminating"})
+    assert [o.conn for o in orders if isinstance(o, c.AbortConn)] == sorted(dials)
--- a/tests/edge/test_endings.py
+++ b/tests/edge/test_endings.py
@@ -92,10 +92,7 @@
 
     async def scenario(p):
         p.body = b"x" * 60_000
-        sock = await p.client(receive=4096)
-        client = next(iter(p.core.clients.open.values()))
-        transport = p.shell.transports[client.conn]
-        transport.get_extra_info("socket").setsockopt(1, 7, 4096)  # SOL_SOCKET, SO_SNDBUF
+        sock, client, transport = await p.slow_client()
         await p.say(sock, request(Connection="close"))
         await p.until(lambda: client.ended and transport.get_write_buffer_size())
         await p.until(lambda: p.shell.lingering)
--- a/tests/edge/test_leaving.py
+++ b/tests/edge/test_leaving.py
@@ -77,10 +77,7 @@
 
     async def scenario(p):
         p.body = b"x" * 60_000
-        sock = await p.client(receive=4096)
-        client = next(iter(p.core.clients.open.values()))
-        transport = p.shell.transports[client.conn]
-        transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        sock, client, _ = await p.slow_client()
         await p.say(sock, request("one"))
         await p.until(lambda: client.held)  # its answer waits on this side
         p.shell.gate.clear()
@@ -102,10 +99,7 @@
 
     async def scenario(p):
         p.body = b"x" * 60_000
-        sock = await p.client(receive=4096)
-        client = next(iter(p.core.clients.open.values()))
-        transport = p.shell.transports[client.conn]
-        transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        sock, client, transport = await p.slow_client()
         await p.say(sock, request())
         await p.until(lambda: client.held)
         end(sock, "FIN")
