--- a/benchmarks/cold_fleet.py
+++ b/benchmarks/cold_fleet.py
@@ -40,7 +40,7 @@
 
 def main() -> None:
     print("| ingresses | scene | mean, of N | worst, in roots | falls | served | without: worst | falls | served |")
-    print("| ---" * 9, "|")
+    print("| --- " * 9 + "|")
     for ingresses in [int(a) for a in sys.argv[1:]] or [3, 30, 200]:
         for name, scene in scenes(ingresses).items():
             began = time.monotonic()
