--- a/tests/edge/test_process.py
+++ b/tests/edge/test_process.py
@@ -125,6 +125,14 @@
         head = await reader.readuntil(b"\r\n\r\n")
         return head + await reader.readexactly(int(re.search(rb"Content-Length: (\d+)", head)[1]))
 
+    async def under_way(self, data):
+        """A request that the backend has and does not answer before the gate opens."""
+        self.gate.clear()
+        before, asked = len(self.backend.heads), asyncio.create_task(self.ask(data))
+        while len(self.backend.heads) == before:
+            await asyncio.sleep(0.005)
+        return asked
+
     async def close(self):
         if self.process.returncode is None:
             self.process.kill()
@@ -186,10 +194,7 @@
 
 def test_sigterm_answers_what_is_open_and_what_still_comes(tmp_path):
     async def scenario(p):
-        p.gate.clear()
-        under_way = asyncio.create_task(p.ask(request("one")))
-        while not p.backend.heads:
-            await asyncio.sleep(0.005)
+        under_way = await p.under_way(request("one"))
         p.process.send_signal(signal.SIGTERM)
         await p.line("stopping")
         late = asyncio.create_task(p.ask(request("two")))
--- a/tests/edge/test_signals.py
+++ b/tests/edge/test_signals.py
@@ -59,10 +59,7 @@
     """While it ends, discovery may move: what the new one tells counts as before."""
 
     async def scenario(p):
-        p.gate.clear()
-        under_way = asyncio.create_task(p.ask(booking("one")))
-        while not p.backend.heads:
-            await asyncio.sleep(0.005)
+        under_way = await p.under_way(booking("one"))
         p.process.send_signal(signal.SIGTERM)
         await p.line("stopping")
         asked = asyncio.Event()
@@ -88,10 +85,7 @@
 
 def test_a_reload_without_the_class_of_an_open_request_answers_it_and_refuses_the_next(tmp_path):
     async def scenario(p):
-        p.gate.clear()
-        under_way = asyncio.create_task(p.ask(booking("one")))
-        while not p.backend.heads:
-            await asyncio.sleep(0.005)
+        under_way = await p.under_way(booking("one"))
         plans = [{"name": "other", "unitsPerS": 5.0, "storeSize": 5.0}]
         p.configure(settings=OPTIONS | {"classes": OPTIONS["classes"][:1], "contracts": plans})
         p.process.send_signal(signal.SIGHUP)
