--- /dev/null
+++ b/rushweir/lab/scale/samples.py
@@ -0,0 +1,41 @@
+"""One measured figure of one role at one size, and what makes such figures. Plain records."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from typing import Literal
+
+# Where a figure comes from: processes of the program itself; its real cores on sockets, without clients (hollow);
+# its real cores in one process, by calls; the same on virtual clocks.
+How = Literal["real", "hollow", "core", "simulated"]
+
+
+@dataclass(frozen=True, slots=True)
+class Sample:
+    """``value`` of ``figure`` in ``unit``, with ``size`` of what ``by`` names (ingresses, backends, partners, ...)."""
+
+    role: str
+    figure: str
+    unit: str
+    by: str
+    size: int
+    value: float
+    how: How
+    seconds: float = 0.0  # for which it was measured, on the clock of that kind; 0: a count
+
+
+@dataclass(frozen=True, slots=True)
+class Role:
+    """Something that costs, and how it is measured. ``measure`` takes a size and gives its samples; it may take
+    seconds, and starts and ends by itself whatever it needs."""
+
+    name: str  # as given on the command line
+    title: str
+    by: str
+    sizes: tuple[int, ...]  # four at least: a slope rests on them
+    measure: Callable[[int], Iterable[Sample]]
+
+    def __post_init__(self) -> None:
+        if len(set(self.sizes)) < 4:
+            raise ValueError(f"role {self.name}: four sizes at least")
