--- a/rushweir/lab/scale/samples.py
+++ b/rushweir/lab/scale/samples.py
@@ -13,7 +13,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Sample:
-    """``value`` of ``figure`` in ``unit``, with ``size`` of what ``by`` names (ingresses, backends, partners, ...)."""
+    """``value`` of ``figure`` in ``unit``, at a ``size`` of what ``by`` names (ingresses, partners, ...)."""
 
     role: str
     figure: str
--- a/rushweir/rollout/__init__.py
+++ b/rushweir/rollout/__init__.py
@@ -1,1 +1,1 @@
-"""Settings in force: a change costs what it changes, from whoever makes it to the turn of the loop that applies it."""
+"""Settings in force: a change costs what it changes, from whoever makes it to the turn that applies it."""
