--- a/tests/edge/test_lists.py
+++ b/tests/edge/test_lists.py
@@ -1,11 +1,199 @@
-"""What discovery tells at awkward moments: watches that end or fall silent, lists that leave out, reloads, the end."""
+"""What discovery tells at awkward moments: watches that end or fall silent, lists that leave out, reloads, the
+end."""
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import orjson
+import pytest
 
+from rushweir.edge.backends import REST_MS
+from rushweir.edge.members import CONNECT_MS, LATE_MS, PAUSE_MS, STALE_MS, WAIT_MS, WORST_MS
 from rushweir.ingress import commands as c
-from tests.edge.conftest import LIST, Edge, answer
+from tests.edge.conftest import LIST, Edge, answer, booking, request
+from tests.edge.test_members import TROUBLES, Agent, page, states, up
+
+RELOAD_MS = 4_000.0  # after SIGHUP a change counts as told, by the platform's page
+LAST_MS = 700.0  # after SIGTERM: nobody new any more
+
+
+def listed(*names):
+    return [e for e in LIST["servers"] if e["id"] in names]
+
+
+def left_out(name, version=9):
+    """The whole list without one that drains."""
+    return page(version, *(e for e in LIST["servers"] if e["id"] != name), full=True)
+
+
+# --- whole lists that leave out -----------------------------------------------------------------------
+
+
+def at_the_backend(edge, state):
+    """A connection of a backend in some state: its id, that connection, and the client's that asked."""
+    conn = edge.connect()
+    dial = next(o for o in edge.say(conn, booking("one")) if isinstance(o, c.Dial) and o.port == 80)
+    name = edge.core.pool.links[dial.conn].backend.id
+    if state != "dialing":
+        edge.core.dialed(edge.now, dial.conn)
+        edge.turn()
+    if state in ("resting", "idle"):
+        edge.say(dial.conn, answer(b"one"))
+        edge.pass_ms(0.0 if state == "resting" else REST_MS + 1)
+    return name, dial.conn, conn
+
+
+@pytest.mark.parametrize("version", [7, 9])
+@pytest.mark.parametrize("how", ["first answer", "watch"])
+@pytest.mark.parametrize("state", ["dialing", "resting", "idle", "busy"])
+def test_what_a_whole_list_does_not_name_gets_nothing_new_though_it_answers(edge, state, how, version):
+    """Also where the version is the one held: a list that leaves out is as new as one that names."""
+    source = up(edge)
+    if how == "watch":
+        edge.say(source, answer(orjson.dumps(LIST)))
+    name, link, conn = at_the_backend(edge, state)
+    orders = edge.say(source, left_out(name, version))
+    assert name not in states(edge) and name not in edge.core.pool.where_listed
+    assert (link in edge.closed) is (state != "busy")
+    if state == "dialing":  # it never was sent, and goes elsewhere
+        other, _ = edge.dial_up([o for o in orders if isinstance(o, c.Dial)])
+        edge.say(other, answer(b"one"))
+    elif state == "busy":  # it finishes what it has, and that is all
+        edge.say(link, answer(b"one"))
+        assert link in edge.closed
+    assert edge.statuses(conn) == [200] and edge.written(conn).endswith(b"one")
+    assert name not in edge.core.pool.nodes
+    before = len(edge.seen)
+    for n in range(12):  # whatever comes now goes to the others
+        edge.say(edge.connect(), request(f"r{n}"))
+    hosts = {o.host for o in edge.seen[before:] if isinstance(o, c.Dial)}
+    gone = listed(name)[0]["addr"].partition(":")[0]
+    assert hosts and gone not in hosts and not [o for o in edge.seen[before:] if getattr(o, "conn", 0) == link]
+
+
+def test_a_whole_list_without_any_leaves_nobody_and_the_next_one_serves_at_once(edge):
+    source = up(edge)
+    edge.say(source, page(8, full=True))
+    conn = edge.connect()
+    edge.say(conn, request("one"))
+    assert edge.statuses(conn) == [503] and b"no_node" in edge.written(conn) and not states(edge)
+    edge.say(source, answer(orjson.dumps(LIST | {"version": 9})))
+    _, link = edge.sent(request("two"), conn)
+    edge.say(link, answer())
+    assert edge.statuses(conn) == [503, 200]
+
+
+@pytest.mark.parametrize("trouble", ["good", *TROUBLES])
+def test_a_watch_that_ends_instead_of_telling_costs_a_call_and_the_list_leaves_out(edge, trouble):
+    """The watch is reset when there is something to tell, and what is told is told by leaving out."""
+    source = up(edge)
+    edge.say(source, answer(orjson.dumps(LIST)))
+    agent = Agent(edge, [trouble, "good"])
+    agent.page = left_out("s-1")
+    edge.closed.add(source)
+    edge.core.ended(edge.now, source)
+    edge.turn()
+    took = agent.run(10_000.0, lambda: "s-1" not in states(edge))
+    assert took <= (2 if trouble != "good" else 1) * (CONNECT_MS + LATE_MS) + 3 * PAUSE_MS[0]
+
+
+# --- late silences ------------------------------------------------------------------------------------
+
+
+class Watched(Agent):
+    """A discovery whose watch goes on as it should until it falls silent, at ``silent_at``; from then on new
+    connections alone are answered, once ``steps`` are through, with what was missed."""
+
+    def __init__(self, edge, steps, silent_at):
+        super().__init__(edge, steps)
+        self.silent_at, self.page, self.good = silent_at, left_out("s-1"), True
+
+    def take(self):
+        if self.edge.now >= self.silent_at:
+            if self.good:  # what was on its way never comes
+                self.good, self.due = False, []
+            super().take()
+            return
+        for order in self.edge.seen[self.seen :]:
+            if isinstance(order, c.Write) and b"GET /catalog" in order.data:
+                assert b"timeout_ms=1500" in order.data
+                self.due.append((self.edge.now + WAIT_MS, self.edge.core.received, order.conn, page(7)))
+        self.seen = len(self.edge.seen)
+
+
+@pytest.mark.parametrize("trouble", TROUBLES)
+@pytest.mark.parametrize("term_ms", [None, -2_200.0, -700.0, -1.0, 0.0, 1.0, 700.0, 2_200.0, 2_300.0])
+def test_a_watch_that_falls_silent_after_13_s_is_found_also_close_to_sigterm(edge, trouble, term_ms):
+    """The silence is one thing, the end another: an ingress that ends is told as before, since it still sends on."""
+    source = up(edge)
+    edge.say(source, answer(orjson.dumps(LIST)))
+    silent_at = edge.now + 13_000.0
+    agent = Watched(edge, [trouble, "good"], silent_at)
+    agent.seen = max(k for k, o in enumerate(edge.seen) if isinstance(o, c.Write))  # the watch just asked
+    agent.run(13_000.0 + min(0.0, term_ms or 0.0), lambda: False)
+    ends = None if term_ms is None else [silent_at + term_ms, silent_at + term_ms + LAST_MS]
+    if ends and term_ms >= 0:
+        agent.run(silent_at - edge.now, lambda: False)
+    assert edge.core.list.calls >= 8 and not edge.core.list.counts["silent"]  # it went on until then
+    for when, what in zip(ends or [], (lambda: edge.core.leave(edge.now, edge.core.setup.settings),
+                                       lambda: edge.core.stop(edge.now)), strict=False):  # fmt: skip
+        agent.run(max(0.0, when - edge.now), lambda: False)
+        what()
+        edge.turn()
+    agent.run(10_000.0, lambda: "s-1" not in states(edge))
+    assert "s-1" not in states(edge) and edge.now - silent_at <= WORST_MS <= 5_000.0
+
+
+# --- reloads with drains ------------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize("state", ["dialing", "resting", "idle", "busy"])
+def test_what_was_told_to_drain_drains_on_through_a_reload(edge, state):
+    """The whole list as it is held is put to module and pool anew: nothing of it comes back."""
+    source = up(edge)
+    edge.say(source, answer(orjson.dumps(LIST)))
+    name, link, conn = at_the_backend(edge, state)
+    edge.say(source, page(8, {**listed(name)[0], "state": "Terminating"}))
+    edge.core.reload(edge.now, replace(edge.core.setup, discovery=("10.9.0.2", 8500)))
+    edge.turn()
+    assert states(edge)[name] == "draining" and (link in edge.closed) is (state != "busy")
+    for n in range(12):
+        edge.say(edge.connect(), request(f"r{n}"))
+    assert all(k.backend.id != name for k in edge.core.pool.links.values() if k.conn != link)
+    if state == "busy":
+        edge.say(link, answer(b"one"))
+        assert edge.statuses(conn) == [200] and link in edge.closed
+
+
+@pytest.mark.parametrize("trouble", ["good", *TROUBLES])
+@pytest.mark.parametrize("told", ["Terminating", "left out"])
+def test_a_drain_that_only_the_new_discovery_knows_holds_in_time(edge, told, trouble):
+    source = up(edge)
+    edge.say(source, answer(orjson.dumps(LIST)))
+    agent = Agent(edge, [trouble, "good"])
+    if told == "left out":
+        agent.page = left_out("s-1")
+    edge.core.reload(edge.now, replace(edge.core.setup, discovery=("10.9.0.2", 8500)))
+    edge.turn()
+    took = agent.run(10_000.0, lambda: states(edge).get("s-1") != "ready")
+    assert source in edge.closed and took <= 2 * (CONNECT_MS + LATE_MS) + 2 * PAUSE_MS[0] <= 3_000.0
+
+
+def test_a_new_discovery_whose_versions_begin_lower_and_that_leaves_out_holds_in_time(edge):
+    """Its list looks older than the one held: what it lacks is held back a second later."""
+    source = up(edge)
+    edge.say(source, answer(orjson.dumps(LIST)))
+    agent = Agent(edge, ["good"])
+    agent.page = left_out("s-1", version=2)
+    edge.core.reload(edge.now, replace(edge.core.setup, discovery=("10.9.0.2", 8500)))
+    edge.turn()
+    took = agent.run(10_000.0, lambda: states(edge)["s-1"] == "draining")
+    # A call within the second comes too early by a moment, and the next one tells.
+    assert STALE_MS <= took <= STALE_MS + 2 * (CONNECT_MS + LATE_MS) + PAUSE_MS[1] <= RELOAD_MS
+
+
+# --- calls ---------------------------------------------------------------------------------------------
 
 
 def test_a_discovery_that_closes_after_each_answer_is_asked_as_seldom_as_one_that_stays():
