--- a/tests/edge/test_deploy.py
+++ b/tests/edge/test_deploy.py
@@ -86,8 +86,8 @@
         assert orjson.loads(process.stderr.readline())["cause"] == "started"
         proc = Path("/proc") / str(process.pid)
         assert os.path.realpath(proc / "exe") == os.path.realpath(sys.executable)
-        assert [(t / "children").read_text() for t in (proc / "task").iterdir()] == [""] * len(os.listdir(proc / "task"))
-        assert "/libc.so" in (proc / "maps").read_text() or "/libc-" in (proc / "maps").read_text()
+        assert {(task / "children").read_text() for task in (proc / "task").iterdir()} == {""}
+        assert re.search(r"/libc[.-]\S*so", (proc / "maps").read_text())
     finally:
         process.kill()
         process.wait()
--- a/tests/edge/test_turned_away.py
+++ b/tests/edge/test_turned_away.py
@@ -107,9 +107,8 @@
         edge.now += 500.0 + BEAT_MS  # each turn takes half a second
         edge.core.advance(edge.now)
         edge.turn()
-    edge.sent_at.clear()
     edge.ask()
-    assert not edge.sent_at and edge.core.overload.pressure == 1.0
+    assert edge.core.overload.pressure == 1.0 and edge.core.engine.refusals == {"overloaded": 1}
     assert edge.play(4_000.0) <= 1_000.0 + STEP_MS
 
 
