--- a/tests/edge/test_turned_away.py
+++ b/tests/edge/test_turned_away.py
@@ -107,11 +107,20 @@
         edge.now += 500.0 + BEAT_MS  # each turn takes half a second
         edge.core.advance(edge.now)
         edge.turn()
+    edge.sent_at.clear()
     edge.ask()
-    assert edge.core.overload.pressure == 1.0 and edge.core.engine.refusals == {"overloaded": 1}
+    assert edge.core.counts["turned_away"] == 1 and edge.core.overload.pressure == 1.0
     assert edge.play(4_000.0) <= 1_000.0 + STEP_MS
 
 
+def test_at_its_worst_overload_takes_nothing_also_on_connections_that_are_open():
+    edge = Busy(MADE)
+    conn = edge.connect()
+    edge.core.overload.delay_ms = edge.core.overload.most
+    edge.say(conn, request())
+    assert edge.statuses(conn) == [503] and edge.core.engine.refusals == {"overloaded": 1}
+
+
 def test_a_customer_over_its_ceiling_is_turned_away_and_the_others_are_not():
     """After a start a ceiling counts as spent: the first request goes when its part has filled by that much."""
     edge = Busy(MADE)
