--- a/tests/edge/test_turned_away.py
+++ b/tests/edge/test_turned_away.py
@@ -160,7 +160,7 @@
 def test_after_a_long_request_in_a_small_room_it_is_shut_until_its_debt_is_paid(gateways, units, out_ms):
     """What was in flight beyond the room is paid back at the room's pace. The debt is MEMORY_MS times the mean
     request at most, and the room never less than a start's. With three servers to five ingresses that is no time;
-    where thirty ingresses share three servers it is longer than the 4 s (14 s after nine units): docs/endings.md."""
+    where thirty ingresses share three servers it is longer than 4 s (14.8 s after nine units): docs/endings.md."""
     classes, sharing = CLASSES[:1], replace(MADE.sharing, largest_request=units)
     edge = Busy(replace(MADE, gateways=gateways, classes=classes, sharing=sharing))
     room, edge.stuck = edge.policy.room, {b"long"}
