A scale run: hollow ingresses on sockets beside real ones, as `rushweir lab scale`

The size to come (700 ingresses) can't be run in real processes here, and no figure of the cost of control by size existed that came from one place. Hollow ingresses are the real core with the real policy, quota mail, member, budgets, list watcher and settings, many to a process, each with its own socket, number, clock and account by kind of traffic; real `rushweir serve` processes stand in the same fleet with clients of their own. A run refuses to start where it does not fit, and its processes end when their input does.

--- a/rushweir/cli/main.py
+++ b/rushweir/cli/main.py
@@ -11,6 +11,7 @@
 
 from rushweir.cli import operators
 from rushweir.cli.changes import tell_changes
+from rushweir.cli.scale import lab_scale
 
 
 @click.group(context_settings={"help_option_names": ["-h", "--help"]})
@@ -188,6 +189,9 @@
     """The laboratory: days to play, records to judge, measurements."""
 
 
+lab.add_command(lab_scale)
+
+
 @lab.command("day")
 @click.argument("file", type=click.Path(path_type=Path))
 @click.option("--keep", type=click.Path(path_type=Path), help="Folder for the records; a temporary one if not given.")
--- /dev/null
+++ b/tests/lab/scale/test_processes.py
@@ -0,0 +1,86 @@
+"""A scale run ends all that it started, also after Ctrl-C and after a crash of its own."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import sys
+from pathlib import Path
+
+import pytest
+
+
+def below(pid: int) -> list[int]:
+    """All processes that a process started, and theirs."""
+    found = []
+    for task in Path(f"/proc/{pid}/task").iterdir():
+        for child in (task / "children").read_text().split():
+            found += [int(child), *below(int(child))]
+    return found
+
+
+async def ended(pid_file: int) -> None:
+    """Until the process behind a descriptor of it is over."""
+    loop, over = asyncio.get_running_loop(), asyncio.Event()
+    loop.add_reader(pid_file, over.set)
+    try:
+        await over.wait()
+    finally:
+        loop.remove_reader(pid_file)
+
+
+@pytest.mark.parametrize(("sign", "code"), [(signal.SIGINT, 1), (signal.SIGKILL, -signal.SIGKILL)])
+def test_nothing_is_left_of_a_run_that_is_stopped(sign: signal.Signals, code: int):
+    async def main() -> None:
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "rushweir", "lab", "scale", "member", "--sizes", "6",
+            stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.DEVNULL,
+        )  # fmt: skip
+        try:
+            lines = []
+            async with asyncio.timeout(120):
+                while "one view" not in (lines or [""])[-1]:
+                    lines.append((await process.stdout.readline()).decode())
+                    assert lines[-1], lines
+            pids = below(process.pid)
+            # Backends, list, hollow ones, the keeper of the real ones, and these.
+            assert len(pids) == 4 + 2, pids
+            files = [os.pidfd_open(pid) for pid in pids]
+            process.send_signal(sign)
+            async with asyncio.timeout(60):
+                assert await process.wait() == code
+                await asyncio.gather(*(ended(x) for x in files))
+            for x in files:
+                os.close(x)
+        finally:
+            if process.returncode is None:
+                process.kill()
+                await process.wait()
+
+    asyncio.run(main())
+
+
+def test_a_size_that_does_not_fit_is_refused_before_anything_starts():
+    async def main() -> None:
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "rushweir", "lab", "scale", "member", "--sizes", "100000",
+            stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.PIPE,
+        )  # fmt: skip
+        out, err = await process.communicate()
+        assert process.returncode == 2, err
+        assert b"does not fit this machine: " in out and b" needed, " in out
+
+    asyncio.run(main())
+
+
+def test_a_role_that_is_not_known_is_named():
+    async def main() -> None:
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "rushweir", "lab", "scale", "nobody", stderr=asyncio.subprocess.PIPE
+        )
+        _, err = await process.communicate()
+        assert process.returncode == 2
+        assert b"nobody: known are ingress, mail, member" in err
+
+    asyncio.run(main())
