--- a/rushweir/lab/scale/scene.py
+++ b/rushweir/lab/scale/scene.py
@@ -1,9 +1,9 @@
 """A fleet to be measured: how many, who asks, and the settings that follow from it. No I/O, no clock.
 
 Tenants are ranked: the k-th asks for a k-th of what the first does. The largest ``shared`` have the plan ``ceiling``,
-which the fleet lends by budgets to ``doors`` of the ingresses, from another one on for each; the next hundredth of all
-have ``large``, those up to a tenth ``middle``, the rest ``small``. The rate of a plan is ``ROOM`` times what the middle
-one of its tenants asks for, so that the larger of a plan are refused a part and quotas are at work.
+which the fleet lends by budgets to ``doors`` of the ingresses, from another one on for each; the next hundredth of
+all have ``large``, those up to a tenth ``middle``, the rest ``small``. The rate of a plan is ``ROOM`` times what the
+middle one of its tenants asks for, so that the larger of a plan are refused a part and quotas are at work.
 """
 
 from __future__ import annotations
--- a/tests/lab/scale/test_scene.py
+++ b/tests/lab/scale/test_scene.py
@@ -90,8 +90,8 @@
         (Scene(5_000), MACHINE, r"^\d+\.\d GiB of memory needed, 11\.7 allowed"),
         (Scene(200), bounds.Machine(8, 24_000.0, 900.0, 20_000, 90_000), r"GiB of memory needed, 0\.9 allowed"),
         (Scene(200), bounds.Machine(8, 24_000.0, 20_000.0, 256, 90_000), r"descriptors .* ulimit -n allows 256"),
-        (Scene(200, real=100), bounds.Machine(8, 1e6, 1e6, 20_000, 50), r"^112 processes needed, 50 allowed"),
-        (Scene(700, real=400), bounds.Machine(8, 1e6, 1e6, 20_000, 90_000), r"processes needed, 300 allowed"),
+        (Scene(200, real=100), bounds.Machine(8, 1e9, 1e9, 1 << 30, 50), r"^112 processes needed, 50 allowed"),
+        (Scene(700, real=400), bounds.Machine(8, 1e9, 1e9, 1 << 30, 90_000), r"processes needed, 300 allowed"),
     ],
 )
 def test_what_does_not_fit_is_refused_with_a_line_that_says_what_is_short(scene, machine, why):
