Slopes of settings, requests, list changes and quota mail measured by calls

Roles of the scale run that are pure calls: a request's decisions and the tick by the list's length, a newcomer's request by ingresses, a change of the list, settings read alone and in a real ingress with one change by SIGHUP, quota mail of ingresses at 143 requests a second on a virtual clock.

--- /dev/null
+++ b/rushweir/lab/scale/pure_mail.py
@@ -0,0 +1,129 @@
+"""Quota mail between ingresses, worked out by calls on one virtual clock.
+
+Each ingress gets 143 requests a second; each of 16,000 tenants may come through any of them. A tenant's part of the
+requests follows Zipf's law; its quota is twice its mean. *Wanted* is what the ingresses would send if messages were
+not bounded; *sent* is what leaves with 60 a second allowed. Bytes are whole datagrams, with IP and UDP heads.
+Requests are answered after 20 ms, messages arrive after 1 ms; no other time passes.
+"""
+
+from __future__ import annotations
+
+import heapq
+import random
+import time
+from bisect import bisect
+from collections.abc import Iterator
+from itertools import accumulate
+from typing import Any
+
+from rushweir import interface as i
+from rushweir.lab.scale.pure_policy import CLASSES, servers
+from rushweir.lab.scale.samples import Role, Sample
+from rushweir.peers.datagram import Peers
+from rushweir.policy import Policy
+
+TENANTS, PER_S = 16_000, 143.0
+ALLOWED = 60.0  # messages a second that an ingress may send
+SENT_MS, SERVED_MS = 1.0, 20.0
+HEADS = 28  # bytes of an IPv4 and a UDP head
+WARM_MS, COUNT_MS = 1_000.0, 1_000.0
+BACKENDS = 100
+UNBOUNDED = 1e7
+QUOTA = 2.0  # times a tenant's mean
+
+
+class Fleet:
+    """Ingresses whose requests are drawn, on one clock; counts their messages."""
+
+    def __init__(self, count: int, allowed: float, seed: int = 3) -> None:
+        rng = random.Random(seed)
+        self.count, self.rng = count, rng
+        self.sums = list(accumulate(1 / (k + 1) for k in range(TENANTS)))
+        mean = [PER_S * count / (k + 1) / self.sums[-1] for k in range(TENANTS)]
+        self.plan_of = [max(0, int(m * 64).bit_length()) for m in mean]  # quotas in steps of two
+        plans = tuple(
+            i.Plan(f"plan{k}", rate=QUOTA * 2**k / 64, burst=max(4.0, 4 * QUOTA * 2**k / 64))
+            for k in range(max(self.plan_of) + 1)
+        )
+        limits, sharing = i.Limits(max_attempts=3, retry_after=True), i.Sharing(peers=True, messages_per_s=allowed)
+        self.policies = [
+            Policy(i.Settings(k, count, f"zone{k % 6}", CLASSES, plans, limits=limits, sharing=sharing), k, 0.0)
+            for k in range(count)
+        ]
+        self.peers = [Peers(k, count, b"k" * 32) for k in range(count)]
+        self.due: list[tuple[float, int, int, Any]] = []
+        self.serial = 0
+        self.messages = self.bytes = self.requests = self.refused = 0
+        self.by_quota = 0
+        self.counting = False
+        listed = servers(BACKENDS)
+        for k, policy in enumerate(self.policies):
+            self.carry(k, 0.0, policy.start())
+            self.carry(k, 0.0, policy.handle(0.0, i.Members(i.Scope.FULL, listed)))
+            self.at(rng.expovariate(PER_S / 1000), k, None)
+
+    def at(self, when: float, k: int, event: Any) -> None:
+        self.serial += 1
+        heapq.heappush(self.due, (when, self.serial, k, event))
+
+    def carry(self, k: int, now: float, actions: list[i.Action]) -> None:
+        for a in actions:
+            match a:
+                case i.Tell(text=text, to=to) if to is not None:
+                    if self.counting:
+                        self.messages += 1
+                        self.bytes += len(self.peers[k].pack(now, to, text) or b"") + HEADS
+                    self.at(now + SENT_MS, to, i.PeerMessage(k, text))
+                case i.Send():
+                    done = i.Outcome(a.id, 0, a.server, i.Result.OK, SERVED_MS, True)
+                    self.at(now + SERVED_MS, k, done)
+                case i.SetTimer():
+                    self.at(now + a.after_ms, k, i.Timer(a.ref))
+                case i.Refuse():
+                    self.refused += self.counting
+                    self.by_quota += self.counting and a.why == "quota"
+
+    def run(self, until: float) -> None:
+        while self.due and self.due[0][0] < until:
+            now, _, k, event = heapq.heappop(self.due)
+            if event is None:
+                self.at(now + self.rng.expovariate(PER_S / 1000), k, None)
+                event = self.request(now)
+            self.carry(k, now, self.policies[k].handle(now, event))
+
+    def request(self, now: float) -> i.Request:
+        tenant = bisect(self.sums, self.rng.random() * self.sums[-1])
+        self.requests += self.counting
+        self.serial += 1
+        return i.Request(
+            f"{self.serial:x}", "long", f"plan{self.plan_of[tenant]}", f"tenant{tenant}", now + 8_000.0,
+            spread=self.count,
+        )  # fmt: skip
+
+
+def mail(size: int) -> Iterator[Sample]:
+    """Messages and bytes a second of each ingress, wanted and sent, and what the whole costs in processor time."""
+    role, by = "quota_mail", "ingresses"
+    seconds = COUNT_MS / 1000
+    for name, allowed in (("wanted", UNBOUNDED), ("sent", ALLOWED)):
+        fleet = Fleet(size, allowed)
+        fleet.run(WARM_MS)
+        fleet.counting, began = True, time.process_time()
+        fleet.run(WARM_MS + COUNT_MS)
+        spent = time.process_time() - began
+        of_each = size * seconds
+        for figure, unit, value in (
+            (f"datagrams {name}", "1/s", fleet.messages / of_each),
+            (f"bytes {name}", "KB/s", fleet.bytes / of_each / 1e3),
+            (f"refused, {name}", "%", 100 * fleet.refused / fleet.requests),
+            (f"refused by quota, {name}", "%", 100 * fleet.by_quota / fleet.requests),
+            (f"cpu {name}", "% of a core", 100 * spent / of_each),
+        ):
+            yield Sample(role, figure, unit, by, size, value, "simulated", seconds)
+        waits = sum(len(p.quota.mail.waiting) for p in fleet.policies) / size
+        yield Sample(role, f"peers waiting for mail, {name}", "", by, size, waits, "simulated", 0.0)
+
+
+ROLES = (
+    Role("quota_mail", "Quota mail of an ingress at 143 requests a second", "ingresses", (10, 25, 50, 100), mail),
+)
--- /dev/null
+++ b/rushweir/lab/scale/pure_measure.py
@@ -0,0 +1,87 @@
+"""How the pure roles measure: processor time of calls, memory of what is built, and what a fresh process says.
+
+Processor time is ``time.process_time``: a busy machine hurts it less than a clock on the wall. Of several repeats the
+median counts. ``in_rounds`` takes the sizes of a role in turn, several times over, so that what else runs meanwhile
+hurts all sizes alike.
+"""
+
+from __future__ import annotations
+
+import gc
+import statistics
+import subprocess
+import sys
+import time
+import tracemalloc
+from collections.abc import Callable, Iterable
+from typing import Any
+
+import orjson
+
+from rushweir.lab.scale.samples import Role, Sample
+
+ROLES: tuple[Role, ...] = ()  # none of its own
+CHILD_S = 300.0  # a child that takes longer is ended
+
+
+def cpu(work: Callable[[], Any], repeats: int = 5) -> float:
+    """Median of the processor time of a call, in seconds. The collector waits meanwhile."""
+    spent = []
+    for _ in range(repeats):
+        gc.collect()
+        gc.disable()
+        try:
+            began = time.process_time()
+            work()
+            spent.append(time.process_time() - began)
+        finally:
+            gc.enable()
+    return statistics.median(spent)
+
+
+def traced(build: Callable[[], Any]) -> tuple[Any, int]:
+    """What a call builds, and the bytes that Python allocated for it and still holds."""
+    gc.collect()
+    tracemalloc.start()
+    try:
+        made = build()
+        gc.collect()
+        return made, tracemalloc.get_traced_memory()[0]
+    finally:
+        tracemalloc.stop()
+
+
+def resident(pid: str | int = "self") -> int:
+    """Bytes of memory that a process has in use. Raises OSError for one that is gone."""
+    with open(f"/proc/{pid}/status") as file:
+        for line in file:
+            if line.startswith("VmRSS:"):
+                return int(line.split()[1]) * 1024
+    raise OSError(f"process {pid} tells no memory")
+
+
+def child(module: str, *arguments: str) -> dict[str, Any]:
+    """The one line of JSON that a module says, run in a process of its own. Raises RuntimeError where it fails."""
+    done = subprocess.run(
+        [sys.executable, "-m", module, *arguments], capture_output=True, timeout=CHILD_S, check=False
+    )
+    if done.returncode:
+        raise RuntimeError(f"{module}: {done.stderr.decode()[-400:]}")
+    return orjson.loads(done.stdout)
+
+
+def in_rounds(role: Role, sizes: Iterable[int] = (), rounds: int = 3) -> list[Sample]:
+    """A role at its sizes in turn, ``rounds`` times over; of each figure at each size the median."""
+    sizes = tuple(sizes) or role.sizes
+    found: dict[tuple[str, str, int], list[Sample]] = {}
+    for _ in range(rounds):
+        for size in sizes:
+            for s in role.measure(size):
+                found.setdefault((s.role, s.figure, s.size), []).append(s)
+    return [_median(samples) for samples in found.values()]
+
+
+def _median(samples: list[Sample]) -> Sample:
+    s = samples[0]
+    value = statistics.median(x.value for x in samples)
+    return Sample(s.role, s.figure, s.unit, s.by, s.size, value, s.how, sum(x.seconds for x in samples))
--- /dev/null
+++ b/rushweir/lab/scale/pure_settings.py
@@ -0,0 +1,190 @@
+"""Settings by partners: read alone in a fresh process, and in a real ``rushweir serve`` that is told of one change.
+
+    python -m rushweir.lab.scale.pure_settings FILE      what reading FILE costs, as a line of JSON
+"""
+
+from __future__ import annotations
+
+import json
+import os
+import re
+import selectors
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Iterator
+from hashlib import sha256
+from pathlib import Path
+from typing import Any
+
+from rushweir.cli.ask import Daemon
+from rushweir.lab.scale.pure_measure import child, resident
+from rushweir.lab.scale.samples import Role, Sample
+from rushweir.lab.stage import free_port
+
+FEW = 10  # partners of the settings that the others are compared with
+START_S, RELOAD_S, END_S = 60.0, 120.0, 15.0
+STEP_S = 0.02  # how often a process is looked at
+LISTENS = re.compile(rb"ingress \d+ listens on ")
+HEAD = """\
+ingress 0 1
+zone a
+listen 127.0.0.1:{port}
+path /dispatch
+state {state}
+control {{
+    socket {state}.sock
+}}
+list {{
+    url ws://127.0.0.1:{list}/list
+}}
+limits {{
+    attempts 3
+    retry-after 500ms
+}}
+class quick {{
+    aim 800ms
+    deadline 3s
+    repeat safe
+}}
+class usual {{
+    aim 1200ms
+    deadline 3s
+    worth 5
+}}
+"""
+PLAN = "plan plan{k} {{\n    rate {rate}/s\n    burst {rate}\n}}\n"
+PARTNER = "partner partner{k:05d} {{\n    plan plan{plan}\n    credential sha256:{digest}\n}}\n"
+PLANS = 20
+
+
+def settings_text(partners: int, port: int = 0, listed: int = 1, state: str = "run", changed: bool = False) -> str:
+    """Settings of one ingress with so many partners; ``changed``: the last one has another plan."""
+    out = [HEAD.format(port=port, list=listed, state=state)]
+    out += [PLAN.format(k=k, rate=10 + 5 * k) for k in range(PLANS)]
+    for k in range(partners):
+        plan = (k + (changed and k == partners - 1)) % PLANS
+        out.append(PARTNER.format(k=k, plan=plan, digest=sha256(b"%d" % k).hexdigest()))
+    return "".join(out)
+
+
+def read_cost(file: Path) -> dict[str, float]:
+    """Processor time and memory that reading a file and making all of it costs, beside a small one read before."""
+    from rushweir.config import load
+
+    few = file.with_name("few.conf")
+    load(few).setup(1, "x-")  # grammar, models and their tables are in memory by now
+    memory, began = resident(), time.process_time()
+    config = load(file)
+    read = time.process_time() - began
+    kept = config.setup(1, "x-")
+    made = time.process_time() - began
+    return {"read_s": read, "made_s": made, "bytes": resident() - memory, "partners": len(kept.credentials.by_digest)}
+
+
+def alone(size: int) -> Iterator[Sample]:
+    """Settings read in a fresh process that serves nothing."""
+    role, by = "settings_alone", "partners"
+    with tempfile.TemporaryDirectory(prefix="rushweir-scale-") as folder:
+        file = Path(folder, "main.conf")
+        file.write_text(settings_text(size))
+        Path(folder, "few.conf").write_text(settings_text(FEW))
+        told = child("rushweir.lab.scale.pure_settings", str(file))
+        length = file.stat().st_size
+    yield Sample(role, "cpu to read", "s", by, size, told["made_s"], "core")
+    yield Sample(role, "memory", "MB", by, size, told["bytes"] / 1e6, "core")
+    yield Sample(role, "bytes of the file", "KB", by, size, length / 1e3, "core")
+
+
+class Served:
+    """A real ingress as a process, alone; started and ended here, by its own handle."""
+
+    def __init__(self, folder: Path, partners: int) -> None:
+        self.file, self.partners, self.port = folder / "main.conf", partners, free_port()
+        self.listed, self.control = free_port(), folder / "run.sock"
+        self.write(False)
+        self.errors = open(folder / "errors.txt", "wb")  # noqa: SIM115 - closed in ``end``
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", "rushweir", "serve", "--log", "json", str(self.file)],
+            stdout=subprocess.PIPE, stderr=self.errors,
+        )  # fmt: skip
+        self.pid = self.process.pid
+        if not self._listens():
+            self.end()
+            raise RuntimeError(f"the ingress did not start: {(folder / 'errors.txt').read_text()[-400:]}")
+
+    def write(self, changed: bool) -> None:
+        self.file.write_text(settings_text(self.partners, self.port, self.listed, changed=changed))
+
+    def _listens(self) -> bool:
+        with selectors.DefaultSelector() as waits:
+            waits.register(self.process.stdout, selectors.EVENT_READ)
+            return bool(waits.select(START_S)) and bool(LISTENS.search(self.process.stdout.readline()))
+
+    def cpu(self) -> float:
+        """Seconds of processor time that the process has spent so far."""
+        fields = Path(f"/proc/{self.pid}/stat").read_text().rpartition(")")[2].split()
+        return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+    def changed(self) -> tuple[float, float]:
+        """One partner's plan changed, and SIGHUP: processor time until it is applied, and time on the wall."""
+        self.write(True)
+        before, began = self.cpu(), time.monotonic()
+        daemon = Daemon(self.control, RELOAD_S)
+        try:
+            was = daemon.ask("status")["reloaded_ms"]
+            assert was is None, was
+            os.kill(self.pid, signal.SIGHUP)
+            while time.monotonic() - began < RELOAD_S:
+                if daemon.ask("status")["reloaded_ms"] is not None:
+                    return self.cpu() - before, time.monotonic() - began
+                time.sleep(STEP_S)
+        finally:
+            daemon.close()
+        raise RuntimeError("the ingress did not take the change")
+
+    def end(self) -> None:
+        self.process.terminate()
+        try:
+            self.process.wait(END_S)
+        except subprocess.TimeoutExpired:
+            self.process.kill()
+            self.process.wait()
+        self.process.stdout.close()
+        self.errors.close()
+
+
+def _served(size: int) -> dict[str, Any]:
+    with tempfile.TemporaryDirectory(prefix="rushweir-scale-") as folder:
+        one = Served(Path(folder), size)
+        try:
+            memory = resident(one.pid)
+            cpu, took = one.changed()
+            return {"memory": memory, "after": resident(one.pid), "cpu": cpu, "took": took}
+        finally:
+            one.end()
+
+
+def served(size: int) -> Iterator[Sample]:
+    """A real ingress with so many partners beside one with ten; one partner changes."""
+    role, by = "settings_served", "partners"
+    few, many = _served(FEW), _served(size)
+    for figure, unit, value in (
+        ("memory more", "MB", (many["memory"] - few["memory"]) / 1e6),
+        ("memory more after the change", "MB", (many["after"] - few["memory"]) / 1e6),
+        ("cpu of one change", "s", many["cpu"]),
+        ("time of one change", "s", many["took"]),
+    ):
+        yield Sample(role, figure, unit, by, size, value, "real", many["took"])
+
+
+ROLES = (
+    Role("settings_alone", "Settings read alone", "partners", (1_000, 2_000, 4_000, 8_000, 16_000), alone),
+    Role("settings_served", "A real ingress with its partners, and one change by SIGHUP", "partners",
+         (1_000, 4_000, 8_000, 16_000), served),
+)  # fmt: skip
+
+if __name__ == "__main__":
+    print(json.dumps(read_cost(Path(sys.argv[1]))))
