--- a/rushweir/cli/main.py
+++ b/rushweir/cli/main.py
@@ -10,6 +10,7 @@
 import orjson
 
 from rushweir.cli import operators
+from rushweir.cli.capacity import capacity
 from rushweir.cli.changes import tell_changes
 
 
@@ -188,6 +189,9 @@
     """The laboratory: days to play, records to judge, measurements."""
 
 
+lab.add_command(capacity)
+
+
 @lab.command("day")
 @click.argument("file", type=click.Path(path_type=Path))
 @click.option("--keep", type=click.Path(path_type=Path), help="Folder for the records; a temporary one if not given.")
--- /dev/null
+++ b/rushweir/lab/scale/pure_list.py
@@ -0,0 +1,88 @@
+"""The list: bytes and processor time of one change and of the whole, at a watcher and at the service behind it."""
+
+from __future__ import annotations
+
+import itertools
+from collections.abc import Iterator
+
+import orjson
+
+from rushweir import interface as i
+from rushweir.discovery import kept
+from rushweir.discovery.pushed import PushedList
+from rushweir.discovery.source import as_entry
+from rushweir.ingress.core import Core
+from rushweir.ingress.websocket import Setup
+from rushweir.lab.scale.pure_measure import cpu, traced
+from rushweir.lab.scale.pure_policy import LISTS, servers, settings
+from rushweir.lab.scale.samples import Role, Sample
+from rushweir.link import rpc
+from rushweir.policy import Policy
+
+CHANGES = 10  # in a block that is timed
+
+
+def core(listed: tuple[i.Server, ...] = ()) -> Core:
+    """A whole ingress with a list that it watches, and nothing behind it."""
+    of = settings()
+    made = Core(Setup(of, list_url="ws://127.0.0.1:9/list", boot="s-"), Policy(of, 1, 0.0), 0.0)
+    if listed:
+        made.list.message(update(listed, "full", 1))
+        made.advance(1.0)
+    return made
+
+
+def text(listed: tuple[i.Server, ...], scope: str, version: int) -> bytes:
+    """A change as a list service writes it."""
+    params = {"scope": scope, "version": version, "servers": [as_entry(s) for s in listed]}
+    return rpc.call("list.update", params | ({"base": version - 1} if scope == "delta" else {}))
+
+
+def update(listed: tuple[i.Server, ...], scope: str, version: int) -> rpc.Call:
+    message = rpc.read(text(listed, scope, version))
+    assert isinstance(message, rpc.Call)
+    return message
+
+
+def watcher(size: int) -> Iterator[Sample]:
+    """One ingress that watches, and a service that tells it."""
+    role, by, listed = "list", "backends", servers(size)
+    one, whole, delta = core(listed), text(listed, "full", 1), text(listed[:1], "delta", 2)
+    version = itertools.count(2)
+    times = itertools.count(2)
+
+    def change() -> None:
+        for _ in range(CHANGES):
+            one.list.message(rpc.read(text(listed[:1], "delta", next(version))))
+            one.advance(float(next(times)))
+            one.orders.clear()
+
+    def parsed() -> list[i.Server]:
+        alone = PushedList("ws://127.0.0.1:9/list", {}, 1, lambda _: 1, lambda *_: None)
+        alone.message(rpc.read(whole))
+        return list(alone.updates[0].servers)
+
+    def took() -> None:
+        core().list.message(rpc.read(whole))
+        one.list.message(rpc.read(whole))
+        one.advance(float(next(times)))
+        one.orders.clear()
+        one.list.version = next(version) - 1
+
+    held = parsed()
+    _, memory = traced(lambda: core(listed))
+    yield Sample(role, "change_bytes", "B", by, size, len(delta), "core")
+    yield Sample(role, "whole_bytes", "KB", by, size, len(whole) / 1e3, "core")
+    yield Sample(role, "parse_cpu", "ms", by, size, cpu(parsed) * 1e3, "core")
+    yield Sample(role, "memory", "MB", by, size, memory / 1e6, "core")
+    yield Sample(role, "change_cpu", "ms", by, size, cpu(change, 3) / CHANGES * 1e3, "core")
+    yield Sample(role, "whole_cpu", "ms", by, size, cpu(took, 3) * 1e3, "core")
+    by_address = {s.address: s for s in held}
+    yield Sample(role, "kept_bytes", "KB", by, size, len(kept.dump(by_address, set(), 0.0)) / 1e3, "core")
+    yield Sample(role, "kept_cpu", "ms", by, size, cpu(lambda: kept.dump(by_address, set(), 0.0)) * 1e3, "core")
+    # Of a service that tells each watcher by itself: the whole, once written, is sent again and again.
+    written = cpu(lambda: orjson.dumps([as_entry(s) for s in listed]))
+    yield Sample(role, "service_whole_cpu", "ms", by, size, written * 1e3, "core")
+
+
+ROLES = (Role("list", "Watching the list, and telling of it", "backends", LISTS, watcher),)
--- a/rushweir/lab/scale/pure_mail.py
+++ b/rushweir/lab/scale/pure_mail.py
@@ -54,13 +54,25 @@
         self.due: list[tuple[float, int, int, Any]] = []
         self.serial = 0
         self.messages = self.bytes = self.requests = self.refused = 0
-        self.by_quota = 0
+        self.by_quota = self.even = 0
+        self.mail_s = 0.0  # processor time of messages that came, answers to them included
         self.counting = False
         listed = servers(BACKENDS)
         for k, policy in enumerate(self.policies):
             self.carry(k, 0.0, policy.start())
             self.carry(k, 0.0, policy.handle(0.0, i.Members(i.Scope.FULL, listed)))
             self.at(rng.expovariate(PER_S / 1000), k, None)
+            self._watched(policy)
+
+    def _watched(self, policy: Policy) -> None:
+        """Count what is decided by a door's even part, for no keeper's word came."""
+        decides = policy.quota.even
+
+        def even(ticket: Any, now: float) -> bool:
+            self.even += self.counting
+            return decides(ticket, now)
+
+        policy.quota.even = even
 
     def at(self, when: float, k: int, event: Any) -> None:
         self.serial += 1
@@ -89,7 +101,13 @@
             if event is None:
                 self.at(now + self.rng.expovariate(PER_S / 1000), k, None)
                 event = self.request(now)
-            self.carry(k, now, self.policies[k].handle(now, event))
+            if not self.counting or not isinstance(event, i.PeerMessage):
+                self.carry(k, now, self.policies[k].handle(now, event))
+                continue
+            began = time.process_time()
+            actions = self.policies[k].handle(now, event)
+            self.mail_s += time.process_time() - began
+            self.carry(k, now, actions)
 
     def request(self, now: float) -> i.Request:
         tenant = bisect(self.sums, self.rng.random() * self.sums[-1])
@@ -113,15 +131,17 @@
         spent = time.process_time() - began
         of_each = size * seconds
         for figure, unit, value in (
-            (f"datagrams {name}", "1/s", fleet.messages / of_each),
-            (f"bytes {name}", "KB/s", fleet.bytes / of_each / 1e3),
-            (f"refused, {name}", "%", 100 * fleet.refused / fleet.requests),
-            (f"refused by quota, {name}", "%", 100 * fleet.by_quota / fleet.requests),
-            (f"cpu {name}", "% of a core", 100 * spent / of_each),
+            (f"{name}_datagrams", "1/s", fleet.messages / of_each),
+            (f"{name}_bytes", "B/s", fleet.bytes / of_each),
+            (f"{name}_refused_share", "1", fleet.refused / fleet.requests),
+            (f"{name}_refused_by_quota_share", "1", fleet.by_quota / fleet.requests),
+            (f"{name}_by_even_part_share", "1", fleet.even / fleet.requests),
+            (f"{name}_mail_cpu", "ms/s", fleet.mail_s / of_each * 1e3),
+            (f"{name}_cpu", "ms/s", spent / of_each * 1e3),
         ):
             yield Sample(role, figure, unit, by, size, value, "simulated", seconds)
         waits = sum(len(p.quota.mail.waiting) for p in fleet.policies) / size
-        yield Sample(role, f"peers waiting for mail, {name}", "", by, size, waits, "simulated", 0.0)
+        yield Sample(role, f"{name}_peers_that_wait", "1", by, size, waits, "simulated")
 
 
 ROLES = (
--- a/rushweir/lab/scale/pure_policy.py
+++ b/rushweir/lab/scale/pure_policy.py
@@ -127,18 +127,40 @@
         for part in [gone] if at_once else [(s,) for s in gone]:
             one.policy.handle(one.now, i.Members(i.Scope.DELTA, part))
 
-    yield Sample(role, "one change", "ms", by, size, cpu(changes) / times * 1e3, "core")
+    yield Sample(role, "one_change", "ms", by, size, cpu(changes) / times * 1e3, "core")
     one_by_one = cpu(lambda: told(i.State.GONE, False), 1)
     told(i.State.READY, True)
-    yield Sample(role, "a zone one by one", "ms", by, size, one_by_one * 1e3, "core")
-    yield Sample(role, "a zone at once", "ms", by, size, cpu(lambda: told(i.State.GONE, True), 1) * 1e3, "core")
+    yield Sample(role, "a_zone_one_by_one", "ms", by, size, one_by_one * 1e3, "core")
+    yield Sample(role, "a_zone_at_once", "ms", by, size, cpu(lambda: told(i.State.GONE, True), 1) * 1e3, "core")
     yield Sample(role, "memory", "MB", by, size, memory / 1e6, "core")
 
 
+def customers(size: int) -> Iterator[Sample]:
+    """What is kept of so many customers, seen within 30 s as a door and as a keeper, and looked through each 3 s."""
+    role, by, names = "customers", "tenants", [f"tenant{k:05d}" for k in range(size)]
+    one = Ingress(settings(), servers(100))
+
+    def seen() -> None:
+        for name in names:  # all at one moment: so many are known at once
+            event = i.Request("r", "usual", "plan1", name, 4_000.0)
+            c = one.policy.quota.customer(event, 0.0)
+            one.policy.quota.keep(c.hash, c.plan, 1.0, 0.0, (0, 1))
+
+    _, memory = traced(seen)
+    yield Sample(role, "memory", "MB", by, size, memory / 1e6, "core")
+
+    def swept() -> None:
+        one.policy.quota.swept = -1e9
+        one.policy.quota.tick(1.0)
+
+    yield Sample(role, "sweep_cpu", "ms", by, size, cpu(swept) * 1e3, "core")
+
+
 LISTS = (100, 500, 1_000, 3_000, 7_600)
 ROLES = (
     Role("request", "A request's decisions, by the list's length", "backends", LISTS, request_by_list),
     Role("newcomer", "A request of a customer not seen for 30 s, by ingresses", "ingresses", (3, 25, 100, 200, 700),
          request_by_ingresses),
+    Role("customers", "Customers that an ingress knows", "tenants", (1_000, 2_000, 4_000, 8_000, 16_000), customers),
     Role("backend_change", "A change of the list in the module", "backends", LISTS, change_by_list),
 )  # fmt: skip
--- a/rushweir/lab/scale/pure_settings.py
+++ b/rushweir/lab/scale/pure_settings.py
@@ -93,9 +93,9 @@
         Path(folder, "few.conf").write_text(settings_text(FEW))
         told = child("rushweir.lab.scale.pure_settings", str(file))
         length = file.stat().st_size
-    yield Sample(role, "cpu to read", "s", by, size, told["made_s"], "core")
+    yield Sample(role, "cpu_to_read", "s", by, size, told["made_s"], "core")
     yield Sample(role, "memory", "MB", by, size, told["bytes"] / 1e6, "core")
-    yield Sample(role, "bytes of the file", "KB", by, size, length / 1e3, "core")
+    yield Sample(role, "bytes_of_the_file", "KB", by, size, length / 1e3, "core")
 
 
 class Served:
@@ -172,10 +172,10 @@
     role, by = "settings_served", "partners"
     few, many = _served(FEW), _served(size)
     for figure, unit, value in (
-        ("memory more", "MB", (many["memory"] - few["memory"]) / 1e6),
-        ("memory more after the change", "MB", (many["after"] - few["memory"]) / 1e6),
-        ("cpu of one change", "s", many["cpu"]),
-        ("time of one change", "s", many["took"]),
+        ("memory_more", "MB", (many["memory"] - few["memory"]) / 1e6),
+        ("memory_more_after_the_change", "MB", (many["after"] - few["memory"]) / 1e6),
+        ("cpu_of_one_change", "s", many["cpu"]),
+        ("time_of_one_change", "s", many["took"]),
     ):
         yield Sample(role, figure, unit, by, size, value, "real", many["took"])
 
