--- a/rushweir/cli/main.py
+++ b/rushweir/cli/main.py
@@ -10,6 +10,7 @@
 import orjson
 
 from rushweir.cli import operators
+from rushweir.cli.capacity import capacity
 from rushweir.cli.changes import tell_changes
 from rushweir.cli.scale import lab_scale
 
@@ -190,6 +191,7 @@
 
 
 lab.add_command(lab_scale)
+lab.add_command(capacity)
 
 
 @lab.command("day")
