--- /dev/null
+++ b/rushweir/rollout/orders.py
@@ -0,0 +1,76 @@
+"""What a control process asks of those who carry it out, and tells them. Plain records."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Any
+
+from rushweir.rollout.steps import Key, Step
+
+Objects = dict[Key, tuple[int, bytes]]  # each object that there is: the step that last changed it, its data
+
+
+@dataclass(slots=True)
+class Send:
+    """One message to another control process, over a stream that keeps order while it holds."""
+
+    peer: int
+    body: list[Any]
+
+
+@dataclass(slots=True)
+class Append:
+    """Write these records behind the log so that they outlive a crash, then say ``kept`` with the serial; of several
+    the last is enough. Appends and rewrites are carried out in the order in which they came."""
+
+    serial: int
+    records: tuple[list[Any], ...]
+
+
+@dataclass(slots=True)
+class Rewrite:
+    """Replace the whole log by these records, atomically, then say ``kept`` with the serial."""
+
+    serial: int
+    records: tuple[list[Any], ...]
+
+
+@dataclass(slots=True)
+class Committed:
+    """A step is in force: a majority has it on disk. They come in order and without a gap, but for ``Jumped``."""
+
+    step: Step
+
+
+@dataclass(slots=True)
+class Jumped:
+    """This process was so far behind that it took the whole: ``number`` is in force, ``objects`` is all there is."""
+
+    number: int
+    objects: Objects
+
+
+@dataclass(slots=True)
+class Answered:
+    """What became of a proposal: the number of its step, which is in force now, or why not.
+
+    ``leader`` is whom to ask instead, -1: nobody known. ``unsure``: it may come into force yet; nobody was told so.
+    """
+
+    ticket: int
+    number: int | None
+    why: str = ""
+    leader: int = -1
+    unsure: bool = False
+
+
+@dataclass(slots=True)
+class Note:
+    """For the log."""
+
+    level: str
+    cause: str
+    fields: dict[str, Any] = field(default_factory=dict)
+
+
+Order = Send | Append | Rewrite | Committed | Jumped | Answered | Note
