Control processes agree on numbered steps: Raft without I/O, and its file of records

Terms and votes are on disk before they are told; a leader without a majority's answers steps down; a change names the version it was made on and is refused with the object's name where another came between. A disk that is an older copy than what it told is found by its position and left out.

--- a/rushweir/costs/log.py
+++ b/rushweir/costs/log.py
@@ -1,29 +1,25 @@
 """The ledger's log: records that survive a kill, without I/O; store.py has the files.
 
     file    "RWCOSTS" version(1)  record*
-    record  length(4) crc32(4) payload          big-endian; the checksum is over length and payload
+    record  as frames.py has it; it says what becomes of a torn end, and of damage in the middle
 
 A payload is a JSON array: ["open", rid, number, partner, route, guess, at, keyed], or ["step", event, rid, number,
-state, amount, at]. The end of a file may be torn: reading stops at the first record that is not whole, and says how
-many bytes were good, so that the file is cut there before anything is written behind it. A record that is wrong in
-the middle, with good ones behind it, is no torn tail but damage, and is told apart.
+state, amount, at].
 """
 
 from __future__ import annotations
 
 from collections.abc import Iterator
-from struct import Struct
 from typing import Any
-from zlib import crc32
 
 import orjson
 
 from rushweir.costs.ledger import Costs, Entry, Step
+from rushweir.frames import FrameError, Frames
 
 VERSION = 1
 MAGIC = b"RWCOSTS" + bytes([VERSION])
-HEAD = Struct(">II")
-MOST_RECORD = 65_536
+FRAMES = Frames(MAGIC, 65_536)
 
 
 class LogError(ValueError):
@@ -31,8 +27,7 @@
 
 
 def record(payload: Any) -> bytes:
-    data = orjson.dumps(payload)
-    return HEAD.pack(len(data), crc32(data, len(data))) + data
+    return FRAMES.frame(orjson.dumps(payload))
 
 
 def opened(e: Entry) -> bytes:
@@ -45,43 +40,20 @@
 
 def records(data: bytes) -> Iterator[tuple[int, Any]]:
     """Each whole record and where it ends. Raises LogError where the file is of another format."""
-    if not data:
-        return
-    if data[: len(MAGIC)] != MAGIC:
-        if MAGIC.startswith(data):  # torn within its first bytes
-            return
-        raise LogError("no ledger log, or one of another version")
-    at = len(MAGIC)
-    while (found := _whole(data, at)) is not None:
-        at, payload = found
-        yield at, payload
-
-
-def _whole(data: bytes, at: int) -> tuple[int, Any] | None:
-    """The record that begins here, and where it ends; None where there is no whole one."""
-    if at + HEAD.size > len(data):
-        return None
-    length, check = HEAD.unpack_from(data, at)
-    end = at + HEAD.size + length
-    if length > MOST_RECORD or end > len(data):
-        return None
-    body = data[at + HEAD.size : end]
-    if crc32(body, length) != check:
-        return None
-    return end, orjson.loads(body)
+    try:
+        for end, payload in FRAMES.payloads(data):
+            yield end, orjson.loads(payload)
+    except FrameError as problem:
+        raise LogError(f"no ledger log: {problem}") from None
 
 
 def good_end(data: bytes) -> int:
     """How many bytes of a log are good: up to its torn end. Raises LogError where whole records lie behind what is
     torn: then something else than a kill happened to the file, and cutting it would lose charges."""
-    end = len(MAGIC) if data[: len(MAGIC)] == MAGIC else 0
-    for end, _ in records(data):  # noqa: B007 - the last one counts
-        pass
-    for at in range(end + 1, min(len(data), end + MOST_RECORD + HEAD.size)):
-        found = _whole(data, at)
-        if found is not None and found[0] - at > HEAD.size + 2:
-            raise LogError(f"damaged at byte {end}: whole records lie behind it, from byte {at}")
-    return end
+    try:
+        return FRAMES.good_end(data)
+    except FrameError as problem:
+        raise LogError(str(problem)) from None
 
 
 def replay(costs: Costs, data: bytes) -> int:
--- /dev/null
+++ b/rushweir/rollout/control_proposals.py
@@ -0,0 +1,95 @@
+"""Proposals of changes: refused, or waiting to come into force. No I/O, no clock.
+
+    from     event                                    answer
+    -        not a leader; too many wait; a bad step  why not
+    -        an object changed since the base         why not, with the object's name
+    OPEN     its step is in force                     the number
+    OPEN     the process leads no more                unsure: others may have it, and it may come into force
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from rushweir.rollout.election import LEADER, NOBODY
+from rushweir.rollout.log import MOST_OBJECTS, MOST_WHOLE
+from rushweir.rollout.orders import Answered
+from rushweir.rollout.steps import Change, Step, StepError, checked, pack
+
+if TYPE_CHECKING:
+    from rushweir.rollout.control import Control
+
+MOST_OPEN, MOST_OPEN_BYTES = 256, 4_194_304  # proposals that wait, and bytes of entries that are not in force
+MOST_AUTHOR = 128  # characters
+
+
+class Proposals:
+    def __init__(self, control: Control) -> None:
+        self.control = control
+        self.open: dict[int, tuple[int, int]] = {}  # index of the entry: ticket, number
+
+    def propose(self, ticket: int, changes: tuple[Change, ...], author: str, base: int | None) -> None:
+        c = self.control
+        why = self._refusal(changes, author, base)
+        if why:
+            leader = c.leader if c.leader != c.me else NOBODY
+            c.orders.append(Answered(ticket, None, why, leader))
+            return
+        number = c.log.number + 1
+        data = pack(Step(number, changes, author))
+        self.open[c.log.last + 1] = (ticket, number)
+        c.add(data)
+        if not c.peers:
+            return  # the only one: in force once it is on its disk
+
+    def _refusal(self, changes: tuple[Change, ...], author: str, base: int | None) -> str:
+        c = self.control
+        if c.outdated:
+            return "the disk of this control process is an older copy than what it told: it takes part no more"
+        if c.election.role is not LEADER:
+            return "this control process does not lead" if c.leader != NOBODY else (
+                "no majority: this control process reaches no leader that a majority follows; nothing is changed")
+        if len(self.open) >= MOST_OPEN or self._open_bytes() > MOST_OPEN_BYTES:
+            return f"{len(self.open)} changes wait already"
+        if len(author) > MOST_AUTHOR:
+            return f"author: {MOST_AUTHOR} characters at most"
+        try:
+            checked(changes)
+        except StepError as problem:
+            return str(problem)
+        grown = sum(len(ch.data or b"") for ch in changes)
+        if len(c.objects) + len(changes) > MOST_OBJECTS or c.bytes + grown > MOST_WHOLE:
+            return f"more than {MOST_OBJECTS} objects or {MOST_WHOLE} bytes in all"
+        return "" if base is None else self._conflict(changes, base)
+
+    def _conflict(self, changes: tuple[Change, ...], base: int) -> str:
+        """The log says what changed since; also what is not in force yet, for it comes before this."""
+        c = self.control
+        if base > c.log.number:
+            return f"version {base} is not known here, {c.number} is the newest"
+        if base < c.floor:
+            return f"too much has changed since version {base}: look at the newest, {c.number}, and make it again"
+        mine = {ch.key for ch in changes}
+        for step in reversed(c.log.steps(base, c.log.last)):
+            for ch in step.changes:
+                if ch.key in mine:
+                    name = " ".join(w for w in ch.key if w)
+                    by = f" by {step.author}" if step.author else ""
+                    return f"{name}: changed by step {step.number}{by} since version {base}"
+        return ""
+
+    def _open_bytes(self) -> int:
+        c = self.control
+        return sum(len(c.log.at(k).data) for k in range(c.commit + 1, c.log.last + 1))
+
+    def in_force(self, index: int) -> None:
+        c = self.control
+        while self.open and (first := next(iter(self.open))) <= index:
+            ticket, number = self.open.pop(first)
+            c.orders.append(Answered(ticket, number, "", c.me))
+
+    def left_open(self) -> None:
+        for ticket, number in self.open.values():
+            why = f"step {number} was not confirmed by a majority; it may come into force yet: look before you retry"
+            self.control.orders.append(Answered(ticket, None, why, NOBODY, unsure=True))
+        self.open.clear()
--- /dev/null
+++ b/rushweir/rollout/storage.py
@@ -0,0 +1,176 @@
+"""What a control process has on disk: one file of checksummed records (frames.py). No I/O.
+
+    of     me, count                      whose it is; the first record of each file
+    at     position                       writes of this process so far, over all its files; the last of each write
+    term   term, voted                    the newest term it knows and whom it voted for in it, -1: nobody
+    part   [kind, name, version, data]*   objects of the base
+    base   index, term, number, objects   what the parts before it make; objects: how many
+    entry  index, term, data              behind the last one
+    cut    index                          this entry and those behind it are no more
+    in     index                          entries up to this one are in force
+    heard  position*                      the highest position of each process that was told, its own too
+
+A file is made whole by atomic replacement, and after that only grows; so it always has its head, up to its base. One
+without is not what was left by any kill, and is refused: a process that forgot its term could vote twice in it.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Any
+
+import msgpack
+
+from rushweir.frames import FrameError, Frames
+from rushweir.rollout.log import BOUNDS, Base, Entry, entry
+from rushweir.rollout.steps import MOST_STEP, StepError
+
+VERSION = 1
+FRAMES = Frames(b"RWSTEPS" + bytes([VERSION]), 4 * MOST_STEP)
+Records = tuple[list[Any], ...]
+
+
+class StorageError(ValueError):
+    """A file that can't be used; the text says why, and at which byte."""
+
+
+@dataclass(slots=True)
+class Kept:
+    """What a process had on disk."""
+
+    me: int
+    count: int
+    term: int = 0
+    voted: int = -1
+    position: int = 0
+    committed: int = 0
+    heard: tuple[int, ...] = ()
+    base: Base = field(default_factory=Base)
+    entries: list[Entry] = field(default_factory=list)
+    good: int = 0  # bytes of the file that are good; what is behind them is a torn end
+
+    def records(self) -> Records:
+        """The whole of it, as a file begins."""
+        return (
+            ["of", self.me, self.count],
+            ["at", self.position],
+            ["term", self.term, self.voted],
+            *(["part", *rows] for rows in parts(self.base)),
+            ["base", self.base.index, self.base.term, self.base.number, len(self.base.objects)],
+            *(["entry", self.base.index + k, e.term, e.data] for k, e in enumerate(self.entries, 1)),
+            ["in", self.committed],
+            ["heard", *self.heard],
+        )
+
+
+def parts(base: Base, most: int = BOUNDS.part) -> list[list[list[Any]]]:
+    """The objects of a base in pieces that fit into messages and records, of ``most`` bytes and one more object."""
+    found: list[list[list[Any]]] = [[]]
+    room = most
+    for (kind, name), (version, data) in base.objects.items():
+        if room <= 0:
+            found.append([])
+            room = most
+        found[-1].append([kind, name, version, data])
+        room -= len(kind) + len(name) + len(data) + 16
+    return found
+
+
+def pack(records: Records) -> bytes:
+    return b"".join(FRAMES.frame(msgpack.packb(r)) for r in records)
+
+
+def whole(records: Records) -> bytes:
+    """A new file."""
+    return FRAMES.magic + pack(records)
+
+
+def read(data: bytes, me: int, count: int) -> Kept:
+    """What a file says. Raises StorageError."""
+    try:
+        good = FRAMES.good_end(data)
+    except FrameError as problem:
+        raise StorageError(f"byte {problem.at}: {problem}") from None
+    kept, reader, begin = Kept(me, count, good=good), _Reader(), len(FRAMES.magic)
+    for end, payload in FRAMES.payloads(data[:good]):
+        try:
+            kind, *rest = msgpack.unpackb(payload)
+            reader.take(kept, kind, rest)
+        except (StepError, ValueError, TypeError, KeyError, msgpack.UnpackException) as problem:
+            raise StorageError(f"byte {begin}: {problem}") from None
+        begin = end
+    if not reader.whole:
+        raise StorageError(
+            f"byte {good}: the file has lost its beginning, and with it the term in which this process voted. "
+            "A process that goes on without could vote twice: see docs/rollout.md on replacing one"
+        )
+    return kept
+
+
+class _Reader:
+    """The records of a file, in their order."""
+
+    def __init__(self) -> None:
+        self.heads: set[str] = set()
+        self.objects: dict = {}
+        self.whole = False
+
+    def take(self, kept: Kept, kind: str, rest: list[Any]) -> None:
+        if not self.whole:
+            if kind not in ("of", "at", "term", "part", "base") or kind in self.heads:
+                raise ValueError(f"a record {kind!r} in the file's beginning")
+            if kind != "part":
+                self.heads.add(kind)
+        elif kind not in ("term", "entry", "cut", "in", "at", "heard"):
+            raise ValueError(f"a record {kind!r} behind the file's beginning")
+        getattr(self, f"_{kind}")(kept, *rest)
+
+    def _of(self, kept: Kept, me: int, count: int) -> None:
+        if (me, count) != (kept.me, kept.count):
+            raise ValueError(f"the file of control process {me} of {count}, not of {kept.me} of {kept.count}")
+
+    def _at(self, kept: Kept, position: int) -> None:
+        if _index(position) < kept.position:
+            raise ValueError(f"write {position} behind write {kept.position}")
+        kept.position = position
+
+    def _term(self, kept: Kept, term: int, voted: int) -> None:
+        if _index(term) < kept.term:
+            raise ValueError(f"term {term} behind term {kept.term}")
+        kept.term, kept.voted = term, voted
+
+    def _part(self, kept: Kept, *rows: list[Any]) -> None:
+        for kind, name, version, data in rows:
+            self.objects[kind, name] = (version, data)
+
+    def _base(self, kept: Kept, index: int, term: int, number: int, objects: int) -> None:
+        if len(self.objects) != objects or not {"of", "at", "term"} <= self.heads:
+            raise ValueError(f"a base of {objects} objects behind {len(self.objects)}, or records missing before it")
+        kept.base = Base(_index(index), _index(term), _index(number), self.objects)
+        kept.committed, self.whole = index, True
+
+    def _entry(self, kept: Kept, index: int, term: int, data: bytes) -> None:
+        last = kept.base.index + len(kept.entries)
+        if index != last + 1:
+            raise ValueError(f"entry {index} behind entry {last}")
+        before = kept.entries[-1].number if kept.entries else kept.base.number
+        kept.entries.append(entry(_index(term), before, data))
+
+    def _cut(self, kept: Kept, index: int) -> None:
+        if not kept.committed < index <= kept.base.index + len(kept.entries):
+            raise ValueError(f"a cut at {index}, with {kept.committed} in force and {len(kept.entries)} entries")
+        del kept.entries[index - kept.base.index - 1 :]
+
+    def _heard(self, kept: Kept, *positions: int) -> None:
+        kept.heard = tuple(_index(p) for p in positions)
+
+    def _in(self, kept: Kept, index: int) -> None:
+        if not kept.committed <= index <= kept.base.index + len(kept.entries):
+            raise ValueError(f"in force up to {index}: not so many entries, or more were")
+        kept.committed = index
+
+
+def _index(value: Any) -> int:
+    if type(value) is not int or value < 0:
+        raise ValueError(f"{value!r:.40}: a whole number is expected")
+    return value
