--- /dev/null
+++ b/rushweir/lab/sim/control_world.py
@@ -0,0 +1,222 @@
+"""Control processes on virtual clocks: streams between them that lose what is on its way when they break, and disks
+that take a moment, tear what a kill interrupts, and can be put back. All chance from the world's seed.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+import msgpack
+
+from rushweir.lab.sim.fleets import Broken
+from rushweir.lab.sim.world import DISK_MS, QUEUE, Process, World
+from rushweir.rollout import storage
+from rushweir.rollout.control import Control
+from rushweir.rollout.log import Bounds
+from rushweir.rollout.orders import Append, Rewrite, Send
+from rushweir.rollout.steps import Change
+from rushweir.rollout.storage import Kept
+
+RELINK_MS = (20.0, 600.0)  # until a stream stands again
+BOUNDS = Bounds(entries=12, bytes=100_000, part=60, message=1)  # so small that a day has folds and many messages
+Make = Callable[[int, int, Kept, int, float], Control]
+
+
+def make(me: int, count: int, kept: Kept, seed: int, now: float) -> Control:
+    return Control(me, count, kept, seed, now, bounds=BOUNDS)
+
+
+class Node:
+    """A control process as the world runs it."""
+
+    def __init__(self, core: Control) -> None:
+        self.core, self.orders = core, core.orders
+        self.start, self.next_at, self.advance, self.kept = core.start, core.next_at, core.advance, core.kept
+
+    def datagram(self, now: float, data: Any) -> None:
+        source, body = data
+        self.core.message(now, source, msgpack.unpackb(body))
+
+
+class Streams:
+    """One stream for each pair. A direction that is cut holds what was sent, as TCP does, until it is mended or the
+    stream breaks; a stream that broke stands again after a while where both ends are there."""
+
+    def __init__(self, world: World, count: int) -> None:
+        self.world = world
+        self.cut: set[tuple[int, int]] = set()
+        self.epoch = {(a, b): 0 for a in range(count) for b in range(a + 1, count)}
+        self.up = dict.fromkeys(self.epoch, False)
+        self.free_at: dict[tuple[int, int], float] = {}  # order is kept
+        self.stalled: dict[tuple[int, int], deque[bytes]] = {}
+        self.delay_ms = (0.5, 4.0)
+        for pair in self.epoch:
+            self._relink_later(pair)
+
+    @staticmethod
+    def pair(a: int, b: int) -> tuple[int, int]:
+        return (min(a, b), max(a, b))
+
+    def send(self, a: int, b: int, body: list[Any]) -> None:
+        pair = self.pair(a, b)
+        if not self.up[pair]:
+            return
+        data = msgpack.packb(body)
+        if (a, b) in self.cut:
+            self._stall(a, b, data)
+            return
+        self._on_its_way(a, b, data)
+
+    def _on_its_way(self, a: int, b: int, data: bytes) -> None:
+        at = max(self.free_at.get((a, b), 0.0), self.world.now + self.world.rng.uniform(*self.delay_ms)) + 1e-6
+        self.free_at[a, b] = at
+        self.world.later(at - self.world.now, self._arrive, a, b, self.epoch[self.pair(a, b)], data)
+
+    def _stall(self, a: int, b: int, data: bytes) -> None:
+        waiting = self.stalled.setdefault((a, b), deque())
+        waiting.append(data)
+        if len(waiting) > QUEUE // 2:
+            self.reset(a, b)
+
+    def _arrive(self, a: int, b: int, epoch: int, data: bytes) -> None:
+        if self.epoch[self.pair(a, b)] != epoch:
+            return
+        if (a, b) in self.cut:
+            self._stall(a, b, data)
+            return
+        p = self.world.at.get(b)
+        if p is not None and p.up and p.stopped and len(p.queue) >= QUEUE - 1:
+            self.reset(a, b)
+            return
+        self.world._arrive(b, (a, data))
+
+    def reset(self, a: int, b: int) -> None:
+        pair = self.pair(a, b)
+        self.epoch[pair] += 1
+        for way in (pair, pair[::-1]):
+            self.stalled.pop(way, None)
+        if self.up[pair]:
+            self.up[pair] = False
+            self._relink_later(pair)
+
+    def _relink_later(self, pair: tuple[int, int]) -> None:
+        self.world.later(self.world.rng.uniform(*RELINK_MS), self._relink, pair)
+
+    def _relink(self, pair: tuple[int, int]) -> None:
+        a, b = pair
+        ends = [self.world.at.get(k) for k in pair]
+        if any(p is None or not p.up or p.stopped for p in ends) or {pair, (b, a)} & self.cut:
+            self._relink_later(pair)
+            return
+        self.up[pair] = True
+        for p, other in zip(ends, (b, a), strict=True):
+            p.core.core.linked(p.clock(self.world.now), other)
+            self.world._turned(p)
+
+    def mend(self, ways: set[tuple[int, int]]) -> None:
+        self.cut -= ways
+        for a, b in sorted(ways):
+            for data in self.stalled.pop((a, b), ()):
+                self._on_its_way(a, b, data)
+
+
+@dataclass(slots=True)
+class Disk:
+    """What would be there after a kill, and what is being written."""
+
+    data: bytes
+    writing: deque[tuple[int, bytes, bool]] = field(default_factory=deque)  # serial, bytes, all or behind
+    free_at: float = 0.0
+    copies: list[bytes] = field(default_factory=list)  # older ones
+
+    def done(self) -> int:
+        """The next write is on disk; its serial."""
+        serial, data, whole = self.writing.popleft()
+        self.data = data if whole else self.data + data
+        return serial
+
+    def crash(self, rng: Any) -> None:
+        """Some of what was being written is there, the next of it perhaps in part: a whole file is all or nothing."""
+        for _ in range(rng.randint(0, len(self.writing))):
+            self.done()
+        if self.writing:
+            _, data, whole = self.writing.popleft()
+            if not whole:
+                self.data += data[: rng.randrange(len(data))]
+        self.writing.clear()
+
+
+class Controls:
+    """``count`` control processes in a world."""
+
+    def __init__(self, world: World, count: int, make: Make = make, believe: bool = False) -> None:
+        """``believe``: a planted fault: a torn end is not cut off before more is written behind it."""
+        self.world, self.count, self.make, self.believe = world, count, make, believe
+        self.streams = Streams(world, count)
+        self.disks = {k: Disk(storage.whole(Kept(k, count).records())) for k in range(count)}
+        world.watchers.append(self._order)
+        self.lives = dict.fromkeys(range(count), 0)
+
+    def control(self, k: int) -> Control:
+        return self.world.at[k].core.core
+
+    def is_up(self, k: int) -> bool:
+        p = self.world.at.get(k)
+        return p is not None and p.up
+
+    def start(self, k: int) -> None:
+        if self.is_up(k):
+            return
+        disk, rng, kept = self.disks[k], self.world.rng, self.on_disk(k)
+        if not self.believe:
+            disk.data = disk.data[: kept.good]
+        self.lives[k] += 1
+        seed = rng.getrandbits(32)
+        self.world.start(
+            k, lambda now, _: Node(self.make(k, self.count, kept, seed, now)), 1.0 + rng.uniform(-0.01, 0.01)
+        )
+
+    def kill(self, k: int) -> None:
+        if self.is_up(k):
+            self.world.kill(k)
+            self.disks[k].crash(self.world.rng)
+            for other in range(self.count):
+                if other != k:
+                    self.streams.reset(k, other)
+
+    def propose(self, k: int, ticket: int, changes: tuple[Change, ...], author: str, base: int | None) -> None:
+        p = self.world.at[k]
+        p.core.core.propose(p.clock(self.world.now), ticket, changes, author, base)
+        self.world._turned(p)
+
+    def on_disk(self, k: int) -> Kept:
+        try:
+            return storage.read(self.disks[k].data, k, self.count)
+        except storage.StorageError as problem:
+            raise Broken(f"the disk of {k} can't be read: {problem}") from None
+
+    def _order(self, p: Process, order: Any) -> None:
+        if isinstance(order, Send):
+            self.streams.send(p.name, order.peer, order.body)
+        elif isinstance(order, Append | Rewrite):
+            disk, whole = self.disks[p.name], isinstance(order, Rewrite)
+            disk.writing.append((order.serial, (storage.whole if whole else storage.pack)(order.records), whole))
+            disk.free_at = max(disk.free_at, self.world.now) + self.world.rng.uniform(*DISK_MS)
+            self.world.later(disk.free_at - self.world.now, self._written, p)
+
+    def _written(self, p: Process) -> None:
+        """A stop holds the process, not its disk; it is told when it goes on."""
+        if not p.up:
+            return
+        serial = self.disks[p.name].done()
+        self._told(p, serial)
+
+    def _told(self, p: Process, serial: int) -> None:
+        if p.up and p.stopped:
+            self.world.later(5.0, self._told, p, serial)
+        elif p.up:
+            p.core.kept(p.clock(self.world.now), serial)
+            self.world._turned(p)
--- a/rushweir/rollout/control.py
+++ b/rushweir/rollout/control.py
@@ -83,7 +83,7 @@
         # The highest position of each, by its own word or by another's; and as it lies on disk.
         self.heard = list(kept.heard) if len(kept.heard) == count else [0] * count
         self.heard[me], self.heard_kept = kept.position, list(kept.heard)
-        self.outdated = False  # its disk is an older copy
+        self.outdated = kept.old > 0  # its disk is an older copy
         self.election = Election(self, kept.term, kept.voted)
         self.follower = Follower(self)
         self.proposals = Proposals(self)
@@ -196,6 +196,7 @@
             self.election.follow(NOBODY)
             self.outdated = True
             self.held.clear()
+            self.keep([["old", position]])  # so that it stays so where the others have forgotten
             self.note("error", "disk_outdated", told=position, has=self.told_position)
 
     def positions(self) -> list[int]:
@@ -279,7 +280,7 @@
     def _rewrite(self) -> None:
         kept = Kept(
             self.me, self.count, self.term, self.election.voted, self.position, self.commit, tuple(self.heard),
-            self.log.base, self.log.entries,
+            base=self.log.base, entries=self.log.entries,
         )  # fmt: skip
         self._write(Rewrite, list(kept.records()))
         self.known = self.commit
--- a/rushweir/rollout/control_peers.py
+++ b/rushweir/rollout/control_peers.py
@@ -18,7 +18,6 @@
 if TYPE_CHECKING:
     from rushweir.rollout.control import Control
 
-MESSAGE_BYTES = 262_144  # of entries in one message, and one more entry
 FLYING, FLYING_BYTES = 512, 2_097_152  # entries sent and not confirmed, and bytes of them; one more entry
 
 
@@ -82,8 +81,9 @@
 
     def _rows(self) -> list[list[Any]]:
         log, rows, size = self.control.log, [], 0
-        k, flying = self.next, sum(len(log.at(n).data) for n in range(max(self.match, log.base.index) + 1, self.next))
-        while k <= log.last and k - self.match <= FLYING and size < MESSAGE_BYTES and flying + size < FLYING_BYTES:
+        flying = sum(len(log.at(n).data) for n in range(max(self.match, log.base.index) + 1, self.next))
+        most, k = min(log.bounds.message, FLYING_BYTES - flying), self.next
+        while k <= log.last and k - self.match <= FLYING and size < most:
             e = log.at(k)
             rows.append([e.term, e.data])
             size += len(e.data)
--- a/rushweir/rollout/log.py
+++ b/rushweir/rollout/log.py
@@ -20,11 +20,12 @@
 @dataclass(frozen=True, slots=True)
 class Bounds:
     """Entries in force that stay after a fold at most, and bytes of them; at twice as much the log is folded.
-    ``part``: bytes of objects told in one message, and one more object."""
+    ``part``: bytes of objects told in one message, and one more object; ``message``: of entries, and one more."""
 
     entries: int = 2_048
     bytes: int = 8_388_608
     part: int = 131_072
+    message: int = 262_144
 
 
 BOUNDS = Bounds()
--- a/rushweir/rollout/storage.py
+++ b/rushweir/rollout/storage.py
@@ -9,6 +9,7 @@
     cut    index                          this entry and those behind it are no more
     in     index                          entries up to this one are in force
     heard  position*                      the highest position of each process that was told, its own too
+    old    position                       this file is an older copy than what was told, up to there, by its process
 
 A file is made whole by atomic replacement, and after that only grows; so it always has its head, up to its base. One
 without is not what was left by any kill, and is refused: a process that forgot its term could vote twice in it.
@@ -45,6 +46,7 @@
     position: int = 0
     committed: int = 0
     heard: tuple[int, ...] = ()
+    old: int = 0
     base: Base = field(default_factory=Base)
     entries: list[Entry] = field(default_factory=list)
     good: int = 0  # bytes of the file that are good; what is behind them is a torn end
@@ -121,7 +123,7 @@
                 raise ValueError(f"a record {kind!r} in the file's beginning")
             if kind != "part":
                 self.heads.add(kind)
-        elif kind not in ("term", "entry", "cut", "in", "at", "heard"):
+        elif kind not in ("term", "entry", "cut", "in", "at", "heard", "old"):
             raise ValueError(f"a record {kind!r} behind the file's beginning")
         getattr(self, f"_{kind}")(kept, *rest)
 
@@ -164,6 +166,9 @@
     def _heard(self, kept: Kept, *positions: int) -> None:
         kept.heard = tuple(_index(p) for p in positions)
 
+    def _old(self, kept: Kept, position: int) -> None:
+        kept.old = _index(position)
+
     def _in(self, kept: Kept, index: int) -> None:
         if not kept.committed <= index <= kept.base.index + len(kept.entries):
             raise ValueError(f"in force up to {index}: not so many entries, or more were")
