Settings to those who watch: book with digests, sender, watcher and kept state, without I/O

A change reached an ingress only by a file and a signal on each machine. Now a control process has cores to send steps to those who watch it, bounded in bytes a second, with what differs found by digests of parts for one that was away long, and the whole only to one with nothing; an ingress takes them in order, whole or not at all, keeps them in a log with a book written anew now and then, and says what it acts on.

--- /dev/null
+++ b/rushweir/rollout/kept.py
@@ -0,0 +1,115 @@
+"""An ingress's settings as kept on disk between two lives. Bytes in and out; no I/O here.
+
+Two files: a book, replaced atomically, and a log of what changed since, appended to and synced for each change.
+
+    log     "RWLATER" version(1)  record*          records as the book has them
+    record  ["rows", base, version, [[key, object or nil], ...], digest of the whole after it]
+
+Written whole, 25,300 objects are some 5 MB, and 3,500 changes a day would write 17 GB; appended, a change writes what
+it changes and some 50 bytes. The book is written anew when the log is longer than LOG_FROM and than half of it, so
+all that is written in a day is at most three times what changed, and one book of LOG_FROM twice. Opening reads at
+most one book and a log of half its length.
+
+What is not whole is refused and named. Of the log all is taken up to its first record that is torn or altered: that
+is a version that was in force, only an older one, and the rest comes from a control process. A record that is older
+than the book is left out: a stop between the writing of the two files leaves such.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any
+
+from rushweir.rollout.book import Book, BookError, Row, record, records, sound
+
+MAGIC = b"RWLATER\x01"
+LOG_FROM = 1_048_576  # bytes of the log before the book is written anew
+MOST_APPEND = 524_288  # bytes of one record; beyond that the book is written anew instead
+
+
+@dataclass(frozen=True, slots=True)
+class Append:
+    """To the log, and synced."""
+
+    data: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Rewrite:
+    """The book replaced by this one, then the log by ``MAGIC`` alone. It is a copy: written beside what goes on."""
+
+    book: Book
+
+
+class Kept:
+    """What is on disk, and what has to be written next."""
+
+    def __init__(self, book: Book | None = None, log_bytes: int = 0, book_bytes: int = 0) -> None:
+        self.book = book or Book()
+        self.log_bytes, self.book_bytes = log_bytes, book_bytes
+
+    def add(self, base: int, rows: list[Row]) -> list[Append | Rewrite]:
+        """The book went from ``base`` to its version by these rows."""
+        size = sum(len(text) + len(held or b"") + 16 for text, held in rows)
+        if not self.book_bytes or size > MOST_APPEND or self.log_bytes > max(LOG_FROM, self.book_bytes // 2):
+            return [self.whole()]
+        data = record(["rows", base, self.book.version, rows, self.book.digest()])
+        self.log_bytes += len(data)
+        return [Append(data)]
+
+    def failed(self) -> None:
+        """The log may have a torn end now: nothing more goes behind it."""
+        self.book_bytes = 0
+
+    def whole(self) -> Rewrite:
+        objects = sum(len(text) + len(held) for part in self.book.parts for text, held in part.items())
+        self.log_bytes, self.book_bytes = 0, max(1, objects)
+        return Rewrite(self.book.copy())
+
+
+def load(book: bytes | None, log: bytes | None) -> tuple[Kept, list[str], int]:
+    """What was kept, what was wrong with it, and how many bytes of the log are good: it is cut there before anything
+    is written behind. With a book that is refused nothing is taken."""
+    if book is None:
+        return Kept(), [] if not log or log == MAGIC else ["a log without its book is left out"], 0
+    try:
+        found = Book.load(book)
+    except BookError as problem:
+        return Kept(), [f"kept settings: {problem}"], 0
+    wrong: list[str] = []
+    good = 0
+    if log:
+        good, why = _replay(found, log)
+        if why:
+            wrong.append(f"kept changes: {why}")
+    return Kept(found, good, len(book)), wrong, good
+
+
+def _replay(book: Book, log: bytes) -> tuple[int, str]:
+    if log[: len(MAGIC)] != MAGIC:
+        return 0, "no log, or one of another version" if not MAGIC.startswith(log) else "torn at byte 0"
+    good = len(MAGIC)
+    for end, payload in records(log, good):
+        try:
+            _rows(book, *payload)
+        except (ValueError, TypeError, BookError) as problem:
+            return good, f"wrong at byte {good} of {len(log)}: {problem}"
+        good = end
+    return good, "" if good == len(log) else f"torn or altered at byte {good} of {len(log)}"
+
+
+def _rows(book: Book, kind: Any, base: Any, version: Any, rows: Any, digest: Any) -> None:
+    """One record, whole or not at all."""
+    if kind != "rows" or type(base) is not int or type(version) is not int or not 0 <= base < version:
+        raise BookError(f"no record of changes: {kind!r:.20}")
+    if version <= book.version:
+        return
+    if base != book.version:
+        raise BookError(f"a change of version {base} does not follow on {book.version}")
+    for text, held in rows:
+        sound(text, held)
+    before = [(text, book.held(text)) for text, _ in rows]
+    book.put(rows, version)
+    if book.digest() != digest:
+        book.put(reversed(before), base)
+        raise BookError(f"the digest of version {version} does not fit")
--- /dev/null
+++ b/rushweir/rollout/watching.py
@@ -0,0 +1,356 @@
+"""An ingress's side of the distribution: it watches one control process and acts on what it gets. No I/O, no clock.
+
+watching_links.py decides whom it watches, watching_ahead.py keeps what it knows beyond what it acts on. This one
+speaks, and gives the orders to apply and to keep.
+
+    what came                                     then
+    a step on the newest known                    taken, if the whole's digest fits; else repaired
+    a step that is known, twice or late           nothing
+    a step ahead of its predecessor               asked again, from the newest known
+    a piece of what differs, on the newest known  collected; taken with the last, if the digest fits
+    a message whose seal does not fit             refused; asked again; MOST_BAD in a row: another control process
+    a digest that does not fit                    nothing taken; what differs is asked for by the digests of parts
+
+    applying      event                           then
+    nothing       something newer is known        order Apply, once; all from the version that is acted on
+    a version     applied                         acts on it; order Keep, and told when it is on disk
+    a version     refused                         stays; told, with object and field; applied anew with the next step
+
+Order Apply is whole or nothing. It says that it acts on a version only when that is on disk too, so that no restart
+falls behind what it said. Versions never go back, here or on disk.
+"""
+
+from __future__ import annotations
+
+import random
+from collections import Counter, deque
+from dataclasses import dataclass, field
+from typing import Any
+
+from rushweir.rollout import watch_mail as mail
+from rushweir.rollout.book import DIGEST, BookError, sound
+from rushweir.rollout.kept import Append, Kept, Rewrite
+from rushweir.rollout.steps import Change, Key, StepError, unpack
+from rushweir.rollout.watching_ahead import Ahead, Delta, of_marks
+from rushweir.rollout.watching_links import Connect, Disconnect, Links
+
+ACTS_MS = (200.0, 2_000.0)  # between two words on what it acts on: with something new, and as a sign of life
+RETRY_MS = (200.0, 3_200.0)  # before it asks again: at first, and at most
+STUCK_MS = 5_000.0  # behind what the beats tell, and nothing came: it asks again
+KEEP_MS = 10_000.0  # before a disk that failed is tried again
+MOST_BAD = 5  # messages in a row
+
+
+@dataclass(frozen=True, slots=True)
+class Send:
+    conn: int
+    data: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Apply:
+    """All of it or nothing, answered by ``applied`` or ``refused``."""
+
+    changes: tuple[Change, ...]
+    version: int
+
+
+@dataclass(frozen=True, slots=True)
+class Keep:
+    """For the disk, in the order given; answered by ``kept`` or ``keep_failed``."""
+
+    what: Append | Rewrite
+    version: int
+
+
+@dataclass(frozen=True, slots=True)
+class Note:
+    level: str
+    event: str
+    fields: dict[str, Any] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    version: int
+    key: Key
+    field: str
+    text: str
+
+    def why(self) -> str:
+        return f"{' '.join(self.key)}: {self.field}: {self.text}"[: mail.MOST_TEXT]
+
+
+class Watching:
+    def __init__(
+        self, now: float, name: str, controls: tuple[str, ...], kept: Kept, key: bytes = b"", seed: int = 0
+    ) -> None:
+        """Acts on what was kept from the start, if anything was."""
+        self.now, self.name, self.key, self.rng = now, name, key, random.Random(seed)
+        self.orders: deque[Connect | Disconnect | Send | Apply | Keep | Note] = deque()
+        self.kept_state, self.book = kept, kept.book
+        self.ahead = Ahead(self.book)
+        self.links = Links(self, name, controls, now, self.rng)
+        self.on_disk = self.book.version
+        self.least = self.head = 0  # as the control processes tell
+        self.refusal: Refusal | None = None  # of a version newer than the one that it acts on
+        self.disk_why = ""
+        self.mend: Delta | None = None
+        self.repairing = False
+        self.bad = 0
+        self.retry = RETRY_MS[0]
+        self.ask_at = self.keep_at = float("inf")
+        self.progress_at = self.acts_at = now
+        self.told = -1  # the version that it said it acts on
+        self.counts: Counter[str] = Counter()
+
+    @property
+    def version(self) -> int:
+        """What it acts on."""
+        return self.book.version
+
+    def status(self) -> dict[str, Any]:
+        link = self.links.main
+        return {
+            "version": self.version, "known": max(self.ahead.version, self.head), "least": self.least,
+            "refused": self.refusal.why() if self.refusal else "", "on_disk": self.on_disk, "disk": self.disk_why,
+            "watches": self.links.order[link.place] if link is not None and link.nonce >= 0 else "",
+            "current": link is not None and link.current,
+        }  # fmt: skip
+
+    # --- what happens ----------------------------------------------------------------------------
+
+    def opened(self, now: float, conn: int) -> None:
+        self.now = now
+        self.links.opened(now, conn)
+
+    def lost(self, now: float, conn: int) -> None:
+        self.now = now
+        main = self.links.main
+        if main is not None and main.conn == conn:
+            self.mend, self.ask_at = None, float("inf")
+        self.links.lost(now, conn)
+
+    def received(self, now: float, conn: int, text: bytes | str) -> None:
+        self.now = now
+        link = self.links.link(conn)
+        if link is None:
+            return
+        link.heard_at = now
+        try:
+            method, fields = mail.read(text, self.key)
+            if method == "rollout.beat":
+                self._beat(conn, fields)
+            elif link is not self.links.main or link.nonce < 0:
+                return
+            elif method == "rollout.step":
+                self._step(fields)
+            elif method == "rollout.mend":
+                self._mend(fields)
+            elif method == "rollout.ask":
+                self._send("rollout.parts", self._state() | {"digests": self.ahead.digests()})
+            self.bad = 0
+        except (mail.MailError, StepError, BookError) as problem:
+            self._bad(conn, str(problem))
+
+    def applied(self, now: float, version: int) -> None:
+        """The changes ordered last are acted on."""
+        self.now = now
+        base, rows = self.book.version, self.ahead.applied()
+        self.refusal = None
+        for what in self.kept_state.add(base, rows):
+            self.orders.append(Keep(what, version))
+        self._say()
+        self._apply()
+
+    def refused(self, now: float, version: int, key: Key, field: str, text: str) -> None:
+        """None of the changes ordered last is acted on."""
+        self.now = now
+        self.ahead.refused()
+        self.refusal = Refusal(version, key, field, text)
+        self.counts["refused"] += 1
+        self.orders.append(Note("error", "settings_refused", {"version": version, "why": self.refusal.why()}))
+        self._say_refused()
+        if self.ahead.version > version:
+            self._apply()
+
+    def kept(self, now: float, version: int) -> None:
+        self.now, self.disk_why = now, ""
+        self.on_disk = max(self.on_disk, version)
+        self._say()
+
+    def keep_failed(self, now: float, why: str) -> None:
+        """The disk has what it had, or a torn end; all is written anew a little later."""
+        self.now = now
+        if not self.disk_why:
+            self.orders.append(Note("error", "settings_not_kept", {"why": why[: mail.MOST_TEXT]}))
+        self.disk_why = why[: mail.MOST_TEXT]
+        self.kept_state.failed()
+        self.keep_at = now + KEEP_MS
+        self._say()
+
+    def next_at(self) -> float:
+        due = min(self.links.next_at(), self.ask_at, self.keep_at)
+        if self._watching():
+            due = min(due, self.acts_at)
+            if self.head > self.ahead.version:
+                due = min(due, self.progress_at + STUCK_MS)
+        return due
+
+    def advance(self, now: float) -> None:
+        self.now = now
+        self.links.advance(now)
+        if now >= self.keep_at:
+            self.keep_at = float("inf")
+            self.orders.append(Keep(self.kept_state.whole(), self.version))
+        if not self._watching():
+            return
+        if now >= self.ask_at:
+            self._watch()
+        elif self.head > self.ahead.version and now >= self.progress_at + STUCK_MS:
+            self.counts["stuck"] += 1
+            self._watch()
+        if now >= self.acts_at:
+            self._say(True)
+
+    # --- what a control process says -------------------------------------------------------------
+
+    def _beat(self, conn: int, fields: dict[str, Any]) -> None:
+        head, least = mail.whole(fields, "head"), mail.whole(fields, "least")
+        nonce = mail.whole(fields, "nonce") if "nonce" in fields else None
+        self.least = max(self.least, least)
+        if self.links.main is not None and self.links.main.conn == conn:
+            if fields.get("waits") is True or head > self.head and self.head <= self.ahead.version:
+                self.progress_at = self.now  # it is behind from now on, not before; or only has to wait
+            self.head = head
+        self.links.beat(self.now, conn, nonce, head, fields.get("current") is True)
+
+    def _step(self, fields: dict[str, Any]) -> None:
+        step = unpack(mail.octets(fields, "step", mail.MOST_BODY))
+        digest = mail.octets(fields, "digest", DIGEST)
+        if step.number <= self.ahead.version:
+            self.counts["known"] += 1
+        elif step.number > self.ahead.version + 1:
+            self.counts["ahead"] += 1
+            self._ask_again()
+        elif self.ahead.step(step, digest):
+            self._newer()
+        else:
+            self._repair()
+
+    def _mend(self, fields: dict[str, Any]) -> None:
+        base, version = mail.whole(fields, "base"), mail.whole(fields, "version")
+        rows, digest = fields.get("rows"), mail.octets(fields, "digest", DIGEST)
+        if not isinstance(rows, list):
+            raise mail.MailError("rows: an array")
+        if base != self.ahead.version or version < base:
+            self.mend = None
+            self._ask_again()
+            return
+        self.progress_at = self.now
+        delta = self.mend = self.mend or Delta(self.ahead)
+        try:
+            for row in rows:
+                text, held = row
+                sound(text, held)
+                delta.add(text, held)
+            for part, marks in of_marks(fields.get("marks")):
+                delta.leave(part, marks)
+        except (TypeError, ValueError) as problem:
+            self.mend = None
+            raise BookError(f"what differs: {problem}") from None
+        if fields.get("more") is True:
+            return
+        self.mend = None
+        if self.ahead.take(delta, version, digest):
+            self.counts["mended"] += 1
+            self._newer()
+        else:
+            self._repair()
+
+    def _newer(self) -> None:
+        self.progress_at, self.retry, self.ask_at = self.now, RETRY_MS[0], float("inf")
+        self.repairing = False
+        self._apply()
+
+    def _repair(self) -> None:
+        """The digest does not fit: it may have been altered here, or what came was wrong."""
+        self.counts["digest_wrong"] += 1
+        self.orders.append(Note("warning", "settings_differ", {"version": self.ahead.version}))
+        self.repairing = True
+        self._ask_again()
+
+    def _bad(self, conn: int, why: str) -> None:
+        self.counts["bad_messages"] += 1
+        self.bad += 1
+        if self.bad == 1:
+            self.orders.append(Note("warning", "rollout_message_refused", {"why": why[: mail.MOST_TEXT]}))
+        if self.bad >= MOST_BAD:
+            self.bad = 0
+            self.orders.append(Disconnect(conn))
+            self.lost(self.now, conn)
+        elif self._watching() and self.links.main is not None and self.links.main.conn == conn:
+            self.mend = None
+            self._ask_again()
+
+    # --- what it says ----------------------------------------------------------------------------
+
+    def adopted(self) -> None:
+        """A control process to watch, from its start."""
+        self.mend, self.head = None, self.links.main.head if self.links.main is not None else 0
+        self._watch()
+        self._say_refused()
+
+    def _watching(self) -> bool:
+        return self.links.main is not None and self.links.main.nonce >= 0
+
+    def _state(self) -> dict[str, Any]:
+        return {"version": self.ahead.version, "acts": self._acts(), "repair": self.repairing}
+
+    def _acts(self) -> int:
+        return min(self.version, self.on_disk)
+
+    def _watch(self) -> None:
+        assert self.links.main is not None
+        self.ask_at, self.progress_at, self.mend = float("inf"), self.now, None
+        self.told, self.acts_at = self._acts(), self.now + ACTS_MS[1]
+        fields = {"who": self.name, "nonce": self.links.main.nonce, "digest": self.ahead.digest()}
+        self.counts["watches"] += 1
+        self._send("rollout.watch", self._state() | fields)
+
+    def _ask_again(self) -> None:
+        """A little later, and later each time: what is on its way comes meanwhile."""
+        if self.ask_at == float("inf"):
+            self.ask_at = self.now + self.retry * self.rng.uniform(0.5, 1.0)
+            self.retry = min(RETRY_MS[1], self.retry * 2)
+
+    def _say(self, alive: bool = False) -> None:
+        """What it acts on: at once if nothing was said for a while."""
+        if not self._watching():
+            return
+        if not alive and self._acts() == self.told and not self.disk_why:
+            return
+        if not alive and self.now < self.acts_at - ACTS_MS[1] + ACTS_MS[0]:
+            self.acts_at = min(self.acts_at, self.now + ACTS_MS[0])
+            return
+        self.told, self.acts_at = self._acts(), self.now + ACTS_MS[1]
+        why = f"can't keep its settings: {self.disk_why}" if self.disk_why else ""
+        self._send("rollout.acts", {"version": self.told, "why": why[: mail.MOST_TEXT]})
+
+    def _say_refused(self) -> None:
+        r = self.refusal
+        if self._watching() and r is not None:
+            told = {"kind": r.key[0], "name": r.key[1], "field": r.field, "text": r.text}
+            cut = {name: value[: mail.MOST_TEXT] for name, value in told.items()}
+            self._send("rollout.refused", {"version": r.version, "acts": self._acts(), **cut})
+
+    def _send(self, method: str, fields: dict[str, Any]) -> None:
+        assert self.links.main is not None
+        self.orders.append(Send(self.links.main.conn, mail.write(method, fields, self.key)))
+
+    def _apply(self) -> None:
+        if self.ahead.applying is None and self.ahead.version > self.version:
+            if self.refusal is not None and self.refusal.version == self.ahead.version:
+                return
+            version = self.ahead.version
+            self.orders.append(Apply(self.ahead.freeze(), version))
--- /dev/null
+++ b/rushweir/rollout/watching_ahead.py
@@ -0,0 +1,142 @@
+"""What an ingress knows of the settings beyond the version that it acts on. No I/O, no clock.
+
+    book           what it acts on
+    applying       a frozen layer, while the one who applies has it
+    rows           what is known beyond both
+
+A refusal leaves the book as it is and lays both layers together, so that a later step that mends what was refused is
+taken with all from the book's version on. Each change of ``rows`` has to make the whole's digest, or none of it is
+taken: so nobody holds objects that are no version of the log. All is bounded by the objects of two versions.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from rushweir.rollout.book import (
+    DIGEST,
+    MARK,
+    MOST_OBJECTS,
+    PARTS,
+    WRAP,
+    Book,
+    BookError,
+    Row,
+    entry,
+    key_of,
+    mark,
+    packed,
+    part_of,
+    weight,
+    whole_digest,
+)  # fmt: skip
+from rushweir.rollout.steps import Change, Step
+
+
+class Delta:
+    """Changes on their way in, with what they add to the sums; they may come in pieces."""
+
+    def __init__(self, ahead: Ahead) -> None:
+        self.ahead, self.rows = ahead, dict[str, bytes | None]()
+        self.sums: dict[int, int] = {}
+
+    def add(self, text: str, held: bytes | None) -> None:
+        old = self.rows[text] if text in self.rows else self.ahead.held(text)
+        if held != old:
+            part = part_of(text)
+            gain = (weight(text, held) if held is not None else 0) - (weight(text, old) if old is not None else 0)
+            self.sums[part] = self.sums.get(part, 0) + gain
+        if len(self.rows) > 2 * MOST_OBJECTS:
+            raise BookError(f"more than {2 * MOST_OBJECTS} objects at once")
+        self.rows[text] = held
+
+    def leave(self, part: int, marks: bytes) -> None:
+        """What is not named in a part is gone from it."""
+        left = {marks[at : at + MARK] for at in range(0, len(marks), MARK)}
+        for text in self.ahead.names(part):
+            if mark(text) not in left:
+                self.add(text, None)
+
+
+class Ahead:
+    """The newest version known, over a book of the one that is acted on."""
+
+    def __init__(self, book: Book) -> None:
+        self.book, self.version = book, book.version
+        self.rows: dict[str, bytes | None] = {}
+        self.sums, self.total = list(book.sums), book.total
+        self.applying: dict[str, bytes | None] | None = None
+        self.frozen: tuple[int, list[int]] = (0, [])  # version and sums of what is being applied
+
+    def held(self, text: str) -> bytes | None:
+        if text in self.rows:
+            return self.rows[text]
+        if self.applying is not None and text in self.applying:
+            return self.applying[text]
+        return self.book.held(text)
+
+    def names(self, part: int) -> set[str]:
+        """Of all objects that a part has."""
+        found = set(self.book.parts[part])
+        for layer in (self.applying or {}, self.rows):
+            for text, held in layer.items():
+                if part_of(text) == part:
+                    (found.discard if held is None else found.add)(text)
+        return found
+
+    def digest(self) -> bytes:
+        return whole_digest(self.version, self.total)
+
+    def digests(self) -> bytes:
+        return b"".join(s.to_bytes(DIGEST, "big") for s in self.sums)
+
+    # --- what comes ------------------------------------------------------------------------------
+
+    def step(self, step: Step, digest: bytes) -> bool:
+        """Whether the next step makes the digest told; else nothing is changed."""
+        delta = Delta(self)
+        for c in step.changes:
+            delta.add(packed(c.key), None if c.data is None else entry(step.number, c.data))
+        return self.take(delta, step.number, digest)
+
+    def take(self, delta: Delta, version: int, digest: bytes) -> bool:
+        total = (self.total + sum(delta.sums.values())) & WRAP
+        if whole_digest(version, total) != digest:
+            return False
+        for part, gain in delta.sums.items():
+            self.sums[part] = (self.sums[part] + gain) & WRAP
+        self.rows.update(delta.rows)
+        self.version, self.total = version, total
+        return True
+
+    # --- the one who applies ---------------------------------------------------------------------
+
+    def freeze(self) -> tuple[Change, ...]:
+        """What is to be applied now, as it differs from the book."""
+        self.applying, self.rows = self.rows, {}
+        self.frozen = (self.version, list(self.sums))
+        rows = [(t, held) for t, held in self.applying.items() if held != self.book.held(t)]
+        return tuple(Change(key_of(t), None if held is None else held[8:]) for t, held in rows)
+
+    def applied(self) -> list[Row]:
+        """The book is of the frozen version from now on; what changed it."""
+        assert self.applying is not None
+        rows = list(self.applying.items())
+        version, sums = self.frozen
+        self.book.merge(rows, version, sums)
+        self.applying = None
+        return rows
+
+    def refused(self) -> None:
+        assert self.applying is not None
+        self.rows, self.applying = {**self.applying, **self.rows}, None
+
+
+def of_marks(told: object) -> Iterable[tuple[int, bytes]]:
+    """Raises BookError."""
+    if not isinstance(told, dict):
+        raise BookError("marks: a map of parts")
+    for part, marks in told.items():
+        if type(part) is not int or not 0 <= part < PARTS or type(marks) is not bytes or len(marks) % MARK:
+            raise BookError("marks: parts and the names in them")
+        yield part, marks
--- /dev/null
+++ b/tests/rollout/test_sending.py
@@ -0,0 +1,398 @@
+"""What each ingress gets: steps, what differs, the whole only to one with nothing; bytes, turns; who acts on what."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from rushweir.rollout import book as b
+from rushweir.rollout import sending, sending_records, sending_standing
+from rushweir.rollout import watch_mail as mail
+from rushweir.rollout.book import Book
+from rushweir.rollout.kept import Kept
+from rushweir.rollout.sending_records import Rates
+from rushweir.rollout.sending_standing import Standing
+from rushweir.rollout.steps import Change, Step
+from tests.rollout.conftest import KEY, Scene
+
+
+def methods(scene: Scene) -> list[str]:
+    return [m for _, _, data in scene.sent if (m := mail.read(data, KEY)[0]) != "rollout.beat"]
+
+
+def data(n: int) -> bytes:
+    return random.Random(n).randbytes(150)  # does not deflate
+
+
+def filled(scene: Scene, partners: int, steps: int = 1) -> None:
+    each = partners // steps
+    for s in range(steps):
+        scene.commit(*((f"p{n}", data(n)) for n in range(s * each, s * each + each)))
+
+
+def kept_of(scene: Scene) -> Kept:
+    return Kept(scene.controls["c"].book.copy())
+
+
+def test_a_change_is_one_small_message_whatever_the_size_of_the_settings(scene: Scene) -> None:
+    sizes = []
+    for partners in (10, 4_000):
+        s = Scene()
+        s.control("c")
+        filled(s, partners)
+        i = s.ingress()
+        s.run(3_000)
+        assert i.core.version == 1
+        s.sent.clear()
+        s.commit(("p3", b"y" * 150))
+        s.settle()
+        assert methods(s) == ["rollout.step"]
+        assert i.core.version == 2
+        sizes.append(sum(len(d) for _, _, d in s.sent))
+    assert sizes[0] == sizes[1] < 600
+
+
+def test_one_that_comes_back_gets_the_steps_since(scene: Scene) -> None:
+    scene.control("c")
+    filled(scene, 2_000)
+    kept = kept_of(scene)
+    for n in range(5):
+        scene.commit((f"p{n}", b"new"))
+    i = scene.ingress(kept=kept)
+    scene.run(1_000)
+    assert methods(scene) == ["rollout.step"] * 5
+    assert i.core.version == 6
+
+
+def test_beyond_the_recent_steps_only_what_differs_is_sent(scene: Scene, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(sending, "MOST_RECENT", 10)
+    c = scene.control("c")
+    filled(scene, 2_000)
+    kept = kept_of(scene)
+    for n in range(20):
+        scene.commit((f"p{n % 4}", b"new %d" % n), (f"gone{n}", b"x"))
+        scene.commit((f"gone{n}", None), (f"p{100 + n}", None))
+    i = scene.ingress(kept=kept)
+    scene.run(1_000)
+    assert methods(scene) == ["rollout.ask", "rollout.mend"]
+    assert (i.core.version, i.core.ahead.digest()) == (41, c.book.digest())
+    assert c.counts["wholes"] == 0
+    told = mail.read(scene.sent[-1][2], KEY)[1] if mail.read(scene.sent[-1][2], KEY)[0] == "rollout.mend" else None
+    told = told or next(f for _, _, d in scene.sent for m, f in [mail.read(d, KEY)] if m == "rollout.mend")
+    assert sum(held is not None for _, held in told["rows"]) == 4
+
+
+def test_what_is_gone_is_found_without_tombstones_too(scene: Scene, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(sending, "MOST_RECENT", 2)
+    monkeypatch.setattr(b, "MOST_GONE", 3)
+    c = scene.control("c")
+    filled(scene, 300)
+    kept = kept_of(scene)
+    for n in range(20):
+        scene.commit((f"p{n}", None))
+    i = scene.ingress(kept=kept)
+    scene.run(1_000)
+    assert c.book.dropped(1) is None
+    assert (i.core.version, i.core.ahead.digest()) == (21, c.book.digest())
+    assert (c.counts["wholes"], i.core.book.count) == (0, 280)
+
+
+def test_many_steps_become_what_differs_when_that_is_less(scene: Scene) -> None:
+    c = scene.control("c")
+    filled(scene, 10)
+    kept = kept_of(scene)
+    for n in range(1_000):
+        scene.commit(("p1", b"%d" % n * 10))
+    i = scene.ingress(kept=kept)
+    scene.run(1_000)
+    assert methods(scene) == ["rollout.ask", "rollout.mend"]
+    assert i.core.version == c.book.version
+
+
+def test_altered_objects_of_the_right_version_are_sent_again_and_nothing_else(scene: Scene) -> None:
+    c = scene.control("c")
+    filled(scene, 2_000)
+    kept = kept_of(scene)
+    kept.book.put([(b.packed(("partner", "p7")), b.entry(1, b"altered"))], 1)
+    i = scene.ingress(kept=kept)
+    scene.run(2_000)
+    assert i.core.ahead.digest() == c.book.digest()
+    scene.commit(("p8", b"later"))
+    scene.run(2_000)
+    assert i.core.book.get(("partner", "p7")) == data(7)
+    assert c.counts["wholes"] == 0
+
+
+def test_the_whole_goes_to_one_with_nothing_and_only_from_one_whom_a_majority_hears(scene: Scene) -> None:
+    c = scene.control("c")
+    filled(scene, 1_000)
+    c.set_current(scene.now, False)
+    i = scene.ingress()
+    scene.run(3_000)
+    assert (i.core.version, c.counts["wholes"]) == (0, 0)
+    c.set_current(scene.now, True)
+    scene.run(100)
+    assert (i.core.version, c.counts["wholes"]) == (1, 1)
+
+
+def test_the_whole_comes_in_pieces_and_steps_meanwhile_after_it(scene: Scene) -> None:
+    c = scene.control("c", rates=Rates(20_000.0, 4_000.0))
+    for part in range(4):
+        scene.commit(*((f"p{n}", data(n)) for n in range(part * 2_000, part * 2_000 + 2_000)))
+    scene.ingress()
+    scene.run(1_000)
+    i = scene.ingresses[0]
+    assert i.core.version == 0 and i.core.mend is not None
+    scene.commit(("p1", b"new"))
+    scene.run(150_000)
+    assert (i.core.version, i.core.ahead.digest()) == (5, c.book.digest())
+    assert c.counts["wholes"] == 1
+    assert methods(scene).count("rollout.mend") > 5
+
+
+def test_small_steps_go_ahead_of_large_pieces(scene: Scene) -> None:
+    scene.control("c", rates=Rates(400_000.0, 50_000.0))
+    filled(scene, 8_000, 4)
+    kept = kept_of(scene)
+    scene.ingress("new")
+    old = scene.ingress("old", kept=kept)
+    scene.run(500)
+    for n in range(15):
+        number = scene.commit((f"p{n}", b"new"))
+        scene.run(200)
+        assert old.core.version == number
+    assert scene.ingresses[0].core.version == 0  # still on its way
+
+
+def test_larger_ones_get_their_part_of_the_bytes_while_small_ones_wait(scene: Scene) -> None:
+    c = scene.control("c", rates=Rates(20_000.0, 10_000.0))
+    filled(scene, 400)
+    kept = kept_of(scene)
+    for k in range(20):
+        scene.ingress(f"i{k}", kept=Kept(kept.book.copy()))
+    new = scene.ingress("new")
+    for n in range(600):  # three times as many bytes as may go
+        scene.commit((f"p{n % 10}", b"%d" % n * 30))
+        scene.run(50)
+        if new.core.version:
+            break
+    assert new.core.version, "the small ones took all"
+    assert c.small or c.large
+
+
+def test_bytes_a_second_are_bounded(scene: Scene) -> None:
+    rates = Rates(30_000.0, 10_000.0)
+    c = scene.control("c", rates=rates)
+    filled(scene, 2_000)
+    for k in range(20):
+        scene.ingress(f"i{k}")
+    most = 0
+    for second in range(30):
+        before = c.counts["bytes"]
+        if second % 3 == 0:
+            scene.commit((f"p{second}", b"new"))
+        scene.run(1_000)
+        most = max(most, c.counts["bytes"] - before)
+    piece = 2 * sending_records.PIECE
+    assert 25_000 < most <= rates.rate + rates.burst + piece
+    scene.run(400_000)
+    assert {i.core.version for i in scene.ingresses} == {c.book.version}
+
+
+def test_those_who_wait_take_turns(scene: Scene) -> None:
+    scene.control("c", rates=Rates(4_000.0, 500.0))
+    filled(scene, 10)
+    kept = kept_of(scene)
+    for k in range(4):
+        scene.ingress(f"i{k}", kept=Kept(kept.book.copy()))
+    scene.run(1_000)
+    for n in range(12):
+        scene.commit((f"p{n % 3}", b"%d" % n * 20))
+    seen = []
+    for _ in range(40):
+        scene.run(100)
+        versions = [i.core.version for i in scene.ingresses]
+        assert max(versions) - min(versions) <= 1
+        seen.append(min(versions))
+    assert len(set(seen)) > 4  # it did take a while
+
+
+def test_one_that_reads_slowly_gets_nothing_until_it_does_and_holds_nobody_up(scene: Scene) -> None:
+    c = scene.control("c")
+    slow, quick = scene.ingress("slow"), scene.ingress("quick")
+    scene.run(1_000)
+    conn = slow.wire[1][1]
+    c.set_writable(scene.now, conn, False)
+    filled(scene, 10)
+    scene.run(1_000)
+    assert (slow.core.version, quick.core.version) == (0, 1)
+    c.set_writable(scene.now, conn, True)
+    scene.settle()
+    assert slow.core.version == 1
+
+
+def test_all_that_is_kept_of_sessions_and_steps_is_bounded(scene: Scene, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(sending, "MOST_SESSIONS", 2)
+    monkeypatch.setattr(sending, "MOST_RECENT", 3)
+    monkeypatch.setattr(sending, "MOST_RECENT_BYTES", 2_000)
+    c = scene.control("c")
+    for k in range(3):
+        scene.ingress(f"i{k}")
+    scene.run(100)
+    assert (len(c.sessions), scene.closed[0]) == (2, "too many sessions")
+    for n in range(10):
+        scene.commit((f"p{n}", b"x"))
+    assert list(c.recent) == [8, 9, 10]
+    scene.commit(("large", random.Random(1).randbytes(5_000)))
+    assert list(c.recent) == [11]
+
+
+def test_a_watch_of_another_session_or_with_another_key_is_refused(scene: Scene) -> None:
+    c = scene.control("c")
+    filled(scene, 3)
+    fields = {"who": "x", "version": 0, "digest": b"", "acts": 0, "repair": False}
+    c.opened(scene.now, 1)
+    c.received(scene.now, 1, mail.write("rollout.watch", {**fields, "nonce": c.sessions[1].nonce + 1}, KEY))
+    c.opened(scene.now, 2)
+    c.received(scene.now, 2, mail.write("rollout.watch", {**fields, "nonce": c.sessions[2].nonce}, b"guessed"))
+    c.opened(scene.now, 3)
+    c.received(scene.now, 3, mail.write("rollout.acts", {"version": 1, "why": ""}, KEY))
+    assert (c.sessions, c.counts["bad_messages"], c.standing.known) == ({}, 3, {})
+
+
+@pytest.mark.parametrize("text", [b"", b"[]", b"{}", b'{"jsonrpc":"2.0","method":"x","params":{"body":1}}'])
+def test_bytes_that_are_no_message_close_their_own_session_alone(scene: Scene, text: bytes) -> None:
+    c = scene.control("c")
+    scene.ingress()
+    scene.run(10)
+    c.opened(scene.now, 99)
+    c.received(scene.now, 99, text)
+    assert len(c.sessions) == 1
+
+
+def test_one_that_falls_silent_is_closed(scene: Scene) -> None:
+    c = scene.control("c")
+    c.opened(scene.now, 99)
+    scene.run(20_000)
+    assert (c.sessions, scene.closed) == ({}, ["silent"])
+
+
+def test_one_that_comes_again_takes_its_old_session_s_place(scene: Scene) -> None:
+    c = scene.control("c")
+    scene.ingress("a")
+    scene.run(100)
+    scene.ingress("a")
+    scene.run(100)
+    assert scene.closed == ["it came again"]
+    assert len(c.by_name) == 1
+
+
+# --- who acts on what ----------------------------------------------------------------------------
+
+
+def test_least_is_what_all_act_on_at_all_control_processes(scene: Scene) -> None:
+    for name in "cde":
+        scene.control(name, expire_ms=20_000)
+    ingresses = [scene.ingress(f"i{k}", ("c", "d", "e")) for k in range(9)]
+    scene.run(25_000)  # they know all now
+    ingresses[0].refuses[("partner", "p1")] = b"bad"
+    filled(scene, 10)
+    scene.run(6_000)
+    assert {s.least() for s in scene.controls.values()} == {1}
+    scene.commit(("p1", b"bad"))
+    scene.run(6_000)
+    assert {i.core.version for i in ingresses[1:]} == {2} and ingresses[0].core.version == 1
+    assert {s.least() for s in scene.controls.values()} == {1}
+    for s in scene.controls.values():
+        row = s.rows()[0]
+        assert (row["ingress"], row["acts"], row["behind"], row["refused"]) == ("i0", 1, 1, 2)
+        assert row["why"] == "partner p1: rate: too large here"
+    scene.commit(("p1", b"good"))
+    scene.run(6_000)
+    assert {s.least() for s in scene.controls.values()} == {i.core.least for i in ingresses} == {3}
+    assert all(row["why"] == "" for row in scene.controls["c"].rows())
+
+
+def test_one_that_can_not_be_reached_blocks_least_until_it_expires(scene: Scene) -> None:
+    c = scene.control("c", expire_ms=30_000)
+    a, gone = scene.ingress("a"), scene.ingress("gone")
+    filled(scene, 3)
+    scene.run(31_000)
+    assert c.least() == 1
+    scene.ingresses.remove(gone)
+    scene.cut(gone, 1, tell=False)
+    scene.commit(("p1", b"new"))
+    scene.run(20_000)
+    assert (a.core.version, c.least(), a.core.least) == (2, 1, 1)
+    assert "not heard for 2" in c.rows()[0]["why"]
+    scene.run(15_000)
+    assert (c.least(), a.core.least) == (2, 2)
+    assert "expired" in c.rows()[0]["why"]
+    assert c.standing.forget("gone") and len(c.rows()) == 1
+    assert not c.standing.forget("a")
+
+
+def test_a_control_process_that_starts_says_nothing_until_it_knows(scene: Scene) -> None:
+    first = scene.control("c", expire_ms=30_000)
+    scene.ingress("a")
+    filled(scene, 3)
+    scene.run(10_000)
+    assert first.least() == 0
+    scene.run(30_000)
+    assert first.least() == 1
+    second = scene.control("d", Book.load(first.book.dump()), expire_ms=30_000)
+    assert second.least() == 0
+    scene.run(4_000)
+    assert second.least() == 1  # the other told it
+
+
+def test_what_was_told_is_never_taken_back() -> None:
+    s = Standing(0.0, 10.0)
+    s.heard(0.0, "a", 5)
+    assert s.least(20.0) == 0  # expired too
+    s.heard(21.0, "a", 5)
+    assert s.least(22.0) == 5
+    s.heard(23.0, "b", 2)
+    assert s.least(24.0) == 5
+
+
+def test_of_two_accounts_the_one_heard_later_counts_and_an_open_session_before_all() -> None:
+    one, two = Standing(0.0, 1e6), Standing(500.0, 1e6)
+    one.heard(100.0, "a", 1)
+    two.heard(700.0, "a", 2)  # its clock began elsewhere
+    one.take(400.0, two.report(800.0))
+    assert one.known["a"].acts == 2
+    stale = Standing(0.0, 1e6)
+    stale.heard(0.0, "a", 1)
+    one.take(500.0, stale.report(400.0))
+    assert one.known["a"].acts == 2
+    one.here.add("a")
+    one.heard(600.0, "a", 0)  # a new machine of that name
+    one.take(600.0, two.report(800.0))
+    assert one.known["a"].acts == 0
+
+
+@pytest.mark.parametrize(
+    "told", [None, 7, {}, {"complete": 1, "told": "x", "rows": []}, {"complete": True, "told": 1, "rows": [["a"]]}]
+)
+def test_a_report_that_is_none_changes_nothing(told: object) -> None:
+    s = Standing(0.0)
+    with pytest.raises(ValueError):
+        s.take(1.0, told)
+    assert (s.known, s.complete) == ({}, False)
+
+
+def test_who_is_known_is_bounded_and_the_longest_expired_go_first(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(sending_standing, "MOST_KNOWN", 2)
+    s = Standing(0.0, 100.0)
+    assert s.heard(0.0, "a", 1) and s.heard(50.0, "b", 1)
+    assert not s.heard(60.0, "c", 1)
+    assert s.heard(140.0, "c", 1)
+    assert sorted(s.known) == ["b", "c"]
+
+
+def test_steps_have_to_follow_on(scene: Scene) -> None:
+    c = scene.control("c")
+    with pytest.raises(b.BookError):
+        c.committed(scene.now, Step(2, (Change(("plan", "a"), b"1"),)))
--- /dev/null
+++ b/tests/rollout/test_watching.py
@@ -0,0 +1,305 @@
+"""An ingress's side: what it takes and refuses, whom it has apply and keep it, and what it says."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from rushweir.rollout import watch_mail as mail
+from rushweir.rollout.kept import Kept, Rewrite
+from rushweir.rollout.sending_records import Send as Sent
+from rushweir.rollout.steps import Change, Step, pack
+from rushweir.rollout.watching import Apply, Keep, Watching
+from tests.rollout.conftest import KEY, Ingress, Scene, whom
+
+
+def steps_of(scene: Scene, count: int) -> list[bytes]:
+    """Messages with steps, as a control process sends them."""
+    c = scene.control("other")
+    for n in range(count):
+        c.committed(scene.now, Step(n + 1, (Change(("partner", f"p{n}"), b"%d" % n),)))
+    return [r.message for r in c.recent.values()]
+
+
+def opened(scene: Scene) -> Ingress:
+    """It watches a control process that has nothing; what comes is given to it by hand."""
+    scene.control("c")
+    i = scene.ingress()
+    scene.run(100)
+    return i
+
+
+# --- what it takes --------------------------------------------------------------------------------
+
+
+def test_steps_twice_and_late_change_nothing(scene: Scene) -> None:
+    i, steps = opened(scene), steps_of(scene, 3)
+    for message in (steps[0], steps[0], steps[1], steps[0], steps[1], steps[2], steps[2]):
+        i.core.received(scene.now, 1, message)
+        i.carry_out()
+    assert [v for v, _ in i.applies] == [1, 2, 3]
+    assert i.core.counts["known"] == 4
+
+
+def test_a_step_ahead_of_its_predecessor_is_not_taken_and_asked_for_again(scene: Scene) -> None:
+    i, steps = opened(scene), steps_of(scene, 3)
+    i.core.received(scene.now, 1, steps[2])
+    i.core.received(scene.now, 1, steps[1])
+    i.carry_out()
+    assert (i.core.version, i.core.counts["ahead"]) == (0, 2)
+    before = i.core.counts["watches"]
+    scene.run(300)
+    assert i.core.counts["watches"] == before + 1  # once for both
+
+
+def test_altered_bytes_are_refused_and_asked_for_again(scene: Scene) -> None:
+    scene.control("c")
+    i = scene.ingress()
+    scene.commit(("p", b"0"))
+    scene.run(100)
+    rng = random.Random(3)
+    left = 3
+
+    def alter(data: bytes) -> bytes:
+        nonlocal left
+        if left and b"rollout.step" in data:
+            left -= 1
+            at = data.index(b'"body":"') + 8 + rng.randrange(40)
+            return data[:at] + (b"A" if data[at : at + 1] != b"A" else b"B") + data[at + 1 :]
+        return data
+
+    scene.changed = alter
+    scene.commit(("p", b"1"))
+    scene.run(5_000)
+    assert (i.core.version, i.core.counts["bad_messages"], left) == (2, 3, 0)
+    assert [n.event for n in i.notes] == ["rollout_message_refused"] * len(i.notes) and i.notes
+
+
+def test_one_that_sends_only_altered_bytes_is_left(scene: Scene) -> None:
+    scene.control("c"), scene.control("d")
+    i = scene.ingress("i1", ("c", "d"))
+    scene.run(100)
+    first = whom(i)
+    real = scene.down
+    scene.changed = lambda data: data.replace(b'"body":"', b'"body":"x')
+    for _ in range(6):
+        scene.run(2_000)
+    assert i.core.links.lost_main >= 1
+    scene.changed, scene.down = None, real
+    scene.run(10_000)
+    assert whom(i) != "" and first in ("c", "d")
+
+
+def test_a_step_whose_digest_does_not_fit_is_not_taken(scene: Scene) -> None:
+    i = opened(scene)
+    step = Step(1, (Change(("partner", "a"), b"1"),))
+    i.core.received(scene.now, 1, mail.write("rollout.step", {"step": pack(step), "digest": b"x" * 16}, KEY))
+    i.carry_out()
+    assert (i.core.version, i.core.ahead.version, i.core.counts["digest_wrong"]) == (0, 0, 1)
+    assert (i.core.ahead.rows, i.core.repairing) == ({}, True)
+
+
+@pytest.mark.parametrize(
+    ("method", "fields"),
+    [
+        ("rollout.step", {"step": b"x", "digest": b""}),
+        ("rollout.step", {"digest": b""}),
+        ("rollout.mend", {"base": 0, "version": 1, "rows": [["", b"1"]], "marks": {}, "more": True, "digest": b""}),
+        ("rollout.mend", {"base": 0, "version": 1, "rows": [7], "marks": {}, "more": True, "digest": b""}),
+        ("rollout.mend", {"base": 0, "version": 1, "rows": [], "marks": {999: b""}, "more": True, "digest": b""}),
+        ("rollout.mend", {"base": 0, "version": 1, "rows": 7, "marks": {}, "more": True, "digest": b""}),
+        ("rollout.beat", {"head": -1, "least": 0}),
+    ],
+)
+def test_sealed_messages_that_are_none_change_nothing(scene: Scene, method: str, fields: dict) -> None:
+    i = opened(scene)
+    i.core.received(scene.now, 1, mail.write(method, fields, KEY))
+    assert (i.core.counts["bad_messages"], i.core.ahead.version, i.core.mend) == (1, 0, None)
+
+
+def test_pieces_cut_off_in_the_middle_change_nothing_and_come_anew(scene: Scene) -> None:
+    c = scene.control("c")
+    scene.commit(*((f"p{n}", random.Random(n).randbytes(200)) for n in range(1_000)))
+    seen = 0
+
+    def cut(data: bytes) -> bytes | None:
+        nonlocal seen
+        seen += b"rollout.mend" in data
+        if b"rollout.mend" in data and seen == 3:
+            scene.cut(scene.ingresses[0], 1)
+            return None
+        return data
+
+    scene.changed = cut
+    i = scene.ingress()
+    scene.run(1)
+    assert (i.core.version, i.core.mend, seen) == (0, None, 3)
+    scene.run(3_000)
+    assert (i.core.version, i.core.ahead.digest()) == (1, c.book.digest())
+
+
+# --- the one who applies, and the disk ------------------------------------------------------------
+
+
+def test_a_refusal_leaves_all_as_it_was_and_a_later_step_mends_it(scene: Scene) -> None:
+    c = scene.control("c")
+    i, other = scene.ingress("i"), scene.ingress("other")
+    scene.commit(("a", b"1"), ("b", b"1"))
+    scene.run(500)
+    i.refuses[("partner", "b")] = b"bad"
+    scene.commit(("a", b"2"), ("b", b"bad"))
+    scene.commit(("c", b"1"))
+    scene.run(500)
+    assert (i.core.version, other.core.version) == (1, 3)
+    assert i.core.book.get(("partner", "a")) == b"1"
+    assert i.core.status()["refused"] == "partner b: rate: too large here"
+    assert c.rows()[0]["why"] == "partner b: rate: too large here"
+    scene.commit(("b", b"good"))
+    scene.run(500)
+    assert i.core.version == 4
+    # As a whole from its version on: all that it missed in one.
+    assert i.applies[-1] == (4, [("partner", n) for n in "abc"])
+    assert (i.core.status()["refused"], i.core.book.digest()) == ("", c.book.digest())
+
+
+def test_what_is_refused_is_not_tried_again_until_something_changed(scene: Scene) -> None:
+    scene.control("c")
+    i = scene.ingress("i")
+    i.refuses[("partner", "b")] = b"bad"
+    scene.commit(("b", b"bad"))
+    scene.run(60_000)
+    assert i.core.counts["refused"] == 1
+
+
+def test_a_refusal_is_told_to_the_next_control_process_too(scene: Scene) -> None:
+    scene.control("c"), scene.control("d")
+    i = scene.ingress("i", ("c", "d"))
+    i.refuses[("partner", "b")] = b"bad"
+    scene.run(100)
+    scene.commit(("b", b"bad"))
+    scene.run(100)
+    scene.kill(whom(i))
+    scene.run(3_000)
+    (left,) = scene.controls.values()
+    assert left.rows()[0]["why"] == "partner b: rate: too large here"
+
+
+def test_steps_that_come_while_one_is_applied_are_applied_after_it(scene: Scene) -> None:
+    scene.control("c")
+    i = scene.ingress("i")
+    scene.run(100)
+    i.hold = True
+    scene.commit(("a", b"1"))
+    scene.commit(("a", b"2"), ("b", b"1"))
+    scene.commit(("b", None))
+    scene.settle()
+    assert (i.core.version, i.core.ahead.version) == (0, 3)
+    i.hold = False
+    i.core.applied(scene.now, 1)
+    assert i.core.book.get(("partner", "a")) == b"1"
+    i.carry_out()
+    assert (i.core.version, i.applies) == (3, [(3, [("partner", "a")])])  # what came and went is no change
+
+
+def test_it_says_that_it_acts_only_when_that_is_on_disk(scene: Scene) -> None:
+    c = scene.control("c")
+    w = Watching(scene.now, "a", ("c",), Kept(), KEY)
+    w.advance(scene.now)
+    w.opened(scene.now, 1)
+    c.opened(scene.now, 1)
+
+    def exchange() -> list[Apply | Keep]:
+        found = []
+        while w.orders or c.orders:
+            while c.orders:
+                down = c.orders.popleft()
+                if isinstance(down, Sent):
+                    w.received(scene.now, 1, down.data)
+            while w.orders:
+                order = w.orders.popleft()
+                if isinstance(order, Apply | Keep):
+                    found.append(order)
+                elif hasattr(order, "data"):
+                    c.received(scene.now, 1, order.data)
+        return found
+
+    def wait(ms: int) -> list[Apply | Keep]:
+        found = []
+        for _ in range(0, ms, 500):
+            scene.now += 500
+            c.advance(scene.now)
+            w.advance(scene.now)
+            found += exchange()
+        return found
+
+    exchange()
+    wait(5_000)
+    scene.commit(("a", b"1"))
+    (apply,) = exchange()
+    assert isinstance(apply, Apply)
+    w.applied(scene.now, 1)
+    (keep,) = exchange()
+    assert isinstance(keep, Keep) and isinstance(keep.what, Rewrite)
+    assert (w.version, c.standing.known["a"].acts) == (1, 0)
+    w.keep_failed(scene.now, "no space")
+    assert wait(3_000) == []
+    assert c.rows()[0]["why"] == "can't keep its settings: no space"
+    (keep,) = wait(10_000)
+    assert isinstance(keep, Keep) and isinstance(keep.what, Rewrite) and keep.version == 1
+    w.kept(scene.now, 1)
+    wait(500)
+    assert (c.standing.known["a"].acts, c.rows()[0]["why"]) == (1, "")
+
+
+def test_it_serves_from_what_was_kept_with_no_control_process(scene: Scene) -> None:
+    c = scene.control("c")
+    scene.commit(("a", b"1"))
+    kept = Kept(c.book.copy())
+    scene.kill("c")
+    i = scene.ingress(kept=kept)
+    scene.run(60_000)
+    assert (i.core.version, i.core.book.get(("partner", "a")), whom(i)) == (1, b"1", "")
+
+
+def test_versions_never_go_back(scene: Scene) -> None:
+    """A control process with an old disk has less than the ingress."""
+    scene.control("c")
+    for n in range(5):
+        scene.commit(("a", b"%d" % n))
+    i = scene.ingress(kept=Kept(scene.controls["c"].book.copy()))
+    old = scene.control("c")
+    old.committed(scene.now, Step(1, (Change(("partner", "a"), b"0"),)))
+    scene.run(20_000)
+    assert (i.core.version, i.applies) == (5, [])
+    for n in range(1, 5):
+        old.committed(scene.now, Step(n + 1, (Change(("partner", "a"), b"%d" % n),)))
+    scene.commit(("a", b"later"))
+    scene.run(2_000)
+    assert i.core.version == 6
+    assert old.counts["wholes"] == 0
+
+
+def test_one_with_other_objects_under_a_number_than_the_log_is_mended(scene: Scene) -> None:
+    """Nothing in this fleet makes such, but a disk that was put in from elsewhere may be such."""
+    c = scene.control("c")
+    for n in range(3):
+        scene.commit(("a", b"%d" % n))
+    strange = Kept(c.book.copy())
+    strange.book.put([(chr(7) + "partnerb", (2).to_bytes(8, "big") + b"of elsewhere")], 3)
+    i = scene.ingress(kept=strange)
+    scene.run(1_000)
+    scene.commit(("a", b"later"))
+    scene.run(1_000)
+    assert (i.core.version, i.core.book.digest()) == (4, c.book.digest())
+    assert i.core.book.get(("partner", "b")) is None
+
+
+def test_what_it_says_costs_little(scene: Scene) -> None:
+    c = scene.control("c")
+    i = scene.ingress()
+    scene.run(5_000)
+    before, at, watched = c.counts["bytes"], scene.now, i.core.counts["watches"]
+    scene.run(60_000)
+    assert (c.counts["bytes"] - before) / 60 < 200  # of 4 KB a second
+    assert (i.core.counts["watches"], at) == (watched, scene.now - 60_000)
