A member in noise that lacks an entry of a view asks for it, and keeps its number

At a third of the datagrams lost or spoilt, probes through others use the budget up (15 a second), and comparisons of tables wait for what is left. A member that missed one entry of the newest view then compared nothing, asked the chair each period instead, and no answer about a view that it does not hold could renew its number: it gave up although the chair was heard all the time.

- Each probe and answer names its sender's view; who is behind asks who named a newer one, in place of the chair, and gets small parts of the table at once: two datagrams on the way, not four.
- Comparisons keep a pace of their own, three datagrams a second, where the budget is used up.
- Who sees that its seat is LOST asks for it each 500 ms, not each 2 s as one whose view is on its way.

--- a/rushweir/fleet/core.py
+++ b/rushweir/fleet/core.py
@@ -28,7 +28,7 @@
 from rushweir.fleet.handlers import HANDLERS
 from rushweir.fleet.members import DEAD, NAMES, SUSPECT, Member, Members
 from rushweir.fleet.seating import Seating, changed, load
-from rushweir.fleet.settings import FleetSettings, told_times
+from rushweir.fleet.settings import REST_MS, FleetSettings, told_times
 from rushweir.fleet.table import HEADING, MEMBER, SEAT, Table, fitting, size
 from rushweir.fleet.views import LOST, SEAT_BYTES, View, seat
 
@@ -38,6 +38,7 @@
 MOST_PINGS = 256  # whose answers are waited for
 AT_ONCE_S = 2.0  # of the budget may go for telling a view to all, beyond which it is left to gossip
 MAIL_PART = 0.25  # of a datagram of the quotas counts against what the fleet may send
+COMPARED_PER_S = 3 * 1000 / REST_MS  # a comparison each REST_MS, of three datagrams: digest, versions, entries
 
 
 class Fleet:
@@ -66,6 +67,7 @@
         self.number = -1
         self.pings: OrderedDict[tuple[int, int], float] = OrderedDict()
         self.budget, self.app_budget = Budget(settings.per_s, now), Budget(settings.apps_per_s, now)
+        self.compared = Budget(COMPARED_PER_S, now)
         self.leaving = self.left = self.silent = False
         self.free_tries = 0
         self.refused = ""  # why the chair gave no seat
@@ -136,9 +138,15 @@
         self.orders.append(o.SendTo(address, self.frames.pack(kind, to, body)))
 
     def may_spend(self) -> bool:
-        """Whether the budget of datagrams has room for what can wait. Probes, their answers and what the chair
-        needs always go: there are few of them, and nothing else works without."""
-        return self.budget.has(self.now)
+        """Whether one datagram of what can wait may go now; asked once for each. Probes, their answers and what the
+        chair needs always go, and where much is lost they use the budget up. What compares tables keeps a pace of
+        its own beside them: else who lacks one entry of a view does not learn it, and its number runs out."""
+        if self.budget.has(self.now):
+            return True
+        if not self.compared.has(self.now):
+            return False
+        self.compared.draw(self.now)
+        return True
 
     def mail(self, count: int = 1) -> None:
         """The quotas sent so many datagrams: theirs go first, and the fleet's waiting ones have the less."""
@@ -321,7 +329,7 @@
         if not self.view.holds(self.me):
             s = self.settings
             seats = (seat(data) for _, data in self.table.of(SEAT).values())
-            if any(x is not None and x.id == self.me for x in seats):
+            if any(x is not None and x.id == self.me and x.state != LOST for x in seats):
                 again = 4 * ASK_SEAT_MS  # it has one; the rest of that view is still on its way
             if self.vote is not None and self.chair.holds():
                 self.seating.wish(self.me, s.address, s.wanted)
--- a/rushweir/fleet/exchange.py
+++ b/rushweir/fleet/exchange.py
@@ -6,9 +6,9 @@
 
 from rushweir.fleet import frame as f
 from rushweir.fleet.budget import Budget
-from rushweir.fleet.members import ALIVE
+from rushweir.fleet.members import ALIVE, SUSPECT
 from rushweir.fleet.settings import JOIN_MS, REST_MS
-from rushweir.fleet.table import HEADING, MEMBER, PARTS, fitting
+from rushweir.fleet.table import HEADING, MEMBER, PARTS, SEAT, fitting
 
 if TYPE_CHECKING:
     from rushweir.fleet.core import Fleet
@@ -28,6 +28,7 @@
     def __init__(self, fleet: Fleet) -> None:
         self.fleet, self.rng = fleet, fleet.rng
         self.learnt = False  # something since the last comparison
+        self.ahead = (0, 0)  # who told last of a newer view than is held here, and of which
         self.welcomes = Budget(fleet.settings.per_s, fleet.now)
 
     def start(self) -> None:
@@ -63,18 +64,43 @@
         rest, self.learnt = SOON_MS if self.learnt else REST_MS, False
         self.fleet.at(rest * self.rng.uniform(0.8, 1.2), self._compare, None)
 
+    def heard(self, sender: int, view: int) -> None:
+        """A member told which view it holds."""
+        if view > self.fleet.view.number:
+            self.ahead = sender, view
+
+    def catch_up(self) -> bool:
+        """If a newer view was heard of than the one held here, ask for what is lacking of it: who said to hold it, or
+        who made it. Each word of it is good for one question: a false one keeps nobody from asking the chair."""
+        fleet, mine = self.fleet, self.fleet.view.number
+        (asked, view), self.ahead = self.ahead, (0, 0)
+        heading = fleet.table.get(HEADING, 0)
+        if view <= mine:
+            asked = fleet.chair_id() if heading is not None and heading[0] > mine else 0
+        m = fleet.members.known.get(asked)
+        if m is None or m.state > SUSPECT or asked == fleet.me or fleet.leaving:
+            return False
+        self._send_digest(asked, True)
+        return True
+
     def _send_digest(self, to: int, answer: bool) -> None:
         self.fleet.send(f.DIGEST, to, [self.fleet.table.digest(), answer])
 
     def differs(self, sender: int, digest: bytes, answer: bool) -> None:
         """Another's digest came. Where much differs, entries are sent as they are, some parts of them, and so does
-        the other; where little does, versions of a part or two are compared first."""
+        the other; where little does, versions of a part or two are compared first. ``answer``: the other wants
+        entries and gives none, so that small parts go as they are: two datagrams on the way, not four."""
         fleet, table, sent = self.fleet, self.fleet.table, 0
         parts = table.differing(digest)
         self.rng.shuffle(parts)
         if len(parts) <= MUCH * PARTS:
+            if answer:
+                parts.sort(key=lambda p: not any(kind == SEAT for kind, _ in table.keys(p)))  # the view first
             for part in parts[:MOST_EXCHANGED]:
-                if fleet.may_spend():
+                entries = [table.row(k) for k in table.keys(part)]
+                if answer and len(fitting(entries, ROWS_ROOM)) == 1:
+                    self._send_rows(sender, entries)
+                elif fleet.may_spend():
                     self.tell_versions(sender, part, table.versions(part), True)
             return
         for part in parts:
--- a/rushweir/fleet/handlers.py
+++ b/rushweir/fleet/handlers.py
@@ -38,8 +38,9 @@
 
 
 def ping(fleet: Fleet, sender: int, body: list) -> None:
-    number, _, _, rows = body
+    number, view, _, rows = body
     fleet.merge(rows)
+    fleet.exchange.heard(sender, whole(view))
     if not fleet.left:
         fleet.send(f.ACK, sender, [whole(number), *fleet.beacon(), fleet.told(sender)])
 
@@ -49,6 +50,7 @@
     fleet.members.answered(sender, whole(number))
     fleet.learn_age(sender, number, whole(view), whole(age))
     fleet.merge(rows)
+    fleet.exchange.heard(sender, view)
 
 
 def ping_for(fleet: Fleet, sender: int, body: list) -> None:
--- a/rushweir/fleet/members.py
+++ b/rushweir/fleet/members.py
@@ -196,12 +196,15 @@
 
     def _ask_chair(self) -> None:
         """Word that the view is in force comes with any answer, but from hand to hand. Who has none for a while asks
-        the chair itself, in a large fleet by lot: together they ask as often as ``CHAIR_ASKED`` members would."""
+        the chair itself, in a large fleet by lot: together they ask as often as ``CHAIR_ASKED`` members would. Who
+        heard of a newer view than it holds learns nothing from that answer: it asks for what it lacks instead."""
         fleet, chair = self.fleet, self.fleet.chair_id()
-        if chair == fleet.me or fleet.age() <= min(STALE_MS, fleet.settings.view_ms * STALE_PART):
+        if fleet.age() <= min(STALE_MS, fleet.settings.view_ms * STALE_PART):
             return
         known = self.known.get(chair)
-        if known is not None and known.state <= SUSPECT and self.rng.random() * self.count() < CHAIR_ASKED:
+        if self.rng.random() * self.count() >= CHAIR_ASKED:
+            return
+        if not fleet.exchange.catch_up() and chair != fleet.me and known is not None and known.state <= SUSPECT:
             self.serial += 1
             fleet.ping(f.PING, chair, self.serial)
 
--- /dev/null
+++ b/tests/fleet/test_noise.py
@@ -0,0 +1,118 @@
+"""Members in noise know in time that their number is their own; the cause why they once did not, forced."""
+
+from __future__ import annotations
+
+import pytest
+
+from rushweir.fleet import frame as f
+from rushweir.fleet.core import Fleet
+from rushweir.fleet.exchange import Exchange
+from rushweir.fleet.views import LOST
+from rushweir.lab.sim.fleets import KEY, Members
+from rushweir.lab.sim.noise import Scene, Starved, StarvedProbes, play, safe_ms
+from rushweir.lab.sim.world import World
+
+SEEDS = range(6)
+NOISE = Scene(mail=35, missed_ms=3_000.0, length_ms=35_000.0)
+# No noise at all: the views of two who join are missed, and probes and quotas use up every member's budget.
+DRAINED = Scene(mail=400, missed_ms=3_000.0, noise=False, length_ms=35_000.0)
+
+
+def worst(scene: Scene, kind: type[Fleet]) -> tuple[float, int]:
+    plays = [play(seed, scene, kind) for seed in SEEDS]
+    return max(ms for found in plays for ms in found.longest.values()), sum(len(found.ended) for found in plays)
+
+
+def test_nobody_in_noise_comes_near_the_end_of_its_safe_time():
+    longest, ended = worst(NOISE, Fleet)
+    assert ended == 0 and longest < 0.6 * safe_ms()
+    assert worst(NOISE, Starved)[0] > 0.6 * safe_ms()  # the bound finds the fault
+
+
+def test_who_missed_a_view_learns_it_though_no_budget_has_room():
+    longest, ended = worst(DRAINED, Fleet)
+    assert ended == 0 and longest < safe_ms() / 2
+    assert worst(DRAINED, Starved)[1] > 0
+
+
+class Unasking(Fleet):
+    """Asks the chair though it is behind."""
+
+    def __init__(self, *arguments) -> None:
+        super().__init__(*arguments)
+        self.members = StarvedProbes(self)
+
+
+def behind(kind: type[Fleet]) -> tuple[World, Members]:
+    """Three found together; a fourth joined while the first heard nothing, and all rumours of it are over."""
+    world = World(5)
+    fleet = Members(world, 3, 6, view_ms=4_000.0, keep_ms=30_000.0)
+    fleet.make = lambda settings, seed, now, kept: kind(settings, KEY, seed, now, kept)
+    for k in range(3):
+        fleet.start(k)
+    world.run(15_000.0)
+    first = next(k for k in range(3) if not fleet.fleet(k).chair.holds())
+    world.net.cut |= {(Members.place(k), Members.place(first)) for k in range(6) if k != first}
+    fleet.start(3)
+    world.run(17_000.0)
+    world.net.cut.clear()
+    assert fleet.fleet(first).view.number < fleet.fleet(3).view.number
+    return world, fleet
+
+
+def views(world: World, fleet: Members, until: float) -> set[int]:
+    world.run(until)
+    return {p.core.view.number for p in fleet.up()}
+
+
+@pytest.mark.parametrize(("kind", "found"), [(Fleet, 1), (Unasking, 2)])
+def test_who_hears_of_a_newer_view_asks_for_it(monkeypatch, kind, found):
+    """Without comparisons, and with all rumours told: only asking is left. The chair's answer alone does not do."""
+    monkeypatch.setattr(Exchange, "_compare", lambda self, _: None)
+    monkeypatch.setattr("rushweir.fleet.core.told_times", lambda most: 1)
+    assert len(views(*behind(kind), 21_000.0)) == found
+
+
+def test_a_false_word_of_a_newer_view_keeps_nobody_from_asking_the_chair():
+    world = World(5)
+    fleet = Members(world, 3, 6, view_ms=4_000.0, keep_ms=30_000.0)
+    for k in range(3):
+        fleet.start(k)
+    world.run(15_000.0)
+    member = next(fleet.fleet(k) for k in range(3) if not fleet.fleet(k).chair.holds())
+    sender = next(m.id for m in member.members.alive())
+    member.exchange.heard(sender, 1 << 40)
+    assert member.exchange.catch_up() and not member.exchange.catch_up()
+    member.exchange.heard(sender, member.view.number)
+    assert not member.exchange.catch_up()
+
+
+def test_who_lost_its_seat_asks_for_it_as_often_as_who_has_none(monkeypatch):
+    world = World(5)
+    fleet = Members(world, 3, 6, view_ms=4_000.0, keep_ms=30_000.0)
+    for k in range(4):
+        fleet.start(k)
+    world.run(15_000.0)
+    lost, chair = fleet.fleet(3), next(fleet.fleet(k) for k in range(3) if fleet.fleet(k).chair.holds())
+
+    def until_lost(member: Fleet) -> None:
+        while member.view.seats[lost.number].state != LOST:
+            world.run(world.now + 100.0)
+            assert world.now < 30_000.0
+
+    world.net.cut |= {(Members.place(3), Members.place(k)) for k in range(3)}
+    until_lost(chair)
+    world.net.cut.clear()
+    monkeypatch.setattr("rushweir.fleet.seating.Seating.wish", lambda *_: None)  # what it asks is lost
+    until_lost(lost)
+    asked = []
+    send = Fleet.send
+
+    def counted(self, kind, to, body):
+        if kind == f.SEAT_ASK:
+            asked.append(self.now)
+        send(self, kind, to, body)
+
+    monkeypatch.setattr(Fleet, "send", counted)
+    world.run(world.now + 6_000.0)
+    assert len(asked) >= 10
