--- a/benchmarks/address_sets.py
+++ b/benchmarks/address_sets.py
@@ -1,6 +1,6 @@
 """Address sets: 10,000 prefixes in a radix tree, in netaddr, and in a plain list, in one run.
 
-    python benchmarks/address_sets.py [PREFIXES]
+    .venv/bin/python -m benchmarks.address_sets [PREFIXES]
 
 ``netaddr`` is no dependency of the program; install it to measure it.
 """
--- a/benchmarks/cold_fleet.py
+++ b/benchmarks/cold_fleet.py
@@ -1,6 +1,6 @@
 """What cold servers are sent by a fleet, beside what they may get: the module, and one that takes them for warm.
 
-    python benchmarks/cold_fleet.py [INGRESSES ...]
+    .venv/bin/python -m benchmarks.cold_fleet [INGRESSES ...]
 
 Simulated time. N is what the settings allow a cold server in their window; a window above N + 2 roots of N + 2 is a
 fall.
--- a/benchmarks/cost_routes.py
+++ b/benchmarks/cost_routes.py
@@ -1,6 +1,6 @@
 """Routes in the trie beside a plain list of patterns, and pricing a request, in one run.
 
-    python benchmarks/cost_routes.py
+    .venv/bin/python -m benchmarks.cost_routes
 
 The list holds a compiled regular expression for each pattern, most exact first, and is searched from its top.
 """
--- a/benchmarks/fleet_detection.py
+++ b/benchmarks/fleet_detection.py
@@ -1,6 +1,6 @@
 """How soon a dead member is known to all, how often a live one is taken for dead, and what it costs: simulated time.
 
-    python benchmarks/fleet_detection.py [MEMBERS ...]        # 3, 12, 30; 300 takes some minutes
+    .venv/bin/python -m benchmarks.fleet_detection [MEMBERS ...]        # 3, 12, 30; 300 takes some minutes
 
 Beside it, in the same world and on the same network (5% of the datagrams lost): a heartbeat table, each member
 telling each other once a second and taking for dead whom it did not hear for three and for five. It needs no
--- a/benchmarks/heaviest.py
+++ b/benchmarks/heaviest.py
@@ -1,6 +1,6 @@
 """The sketch of the heaviest beside a plain dictionary, in time and memory, in one run.
 
-    python benchmarks/heaviest.py
+    .venv/bin/python -m benchmarks.heaviest
 
 The dictionary holds an exponentially forgotten count for each partner and is sorted when it is asked; the sketch
 holds 1,024 names. Partners' requests follow a Zipf law; the last table says how good the sketch's answer is.
--- a/benchmarks/http_parsers.py
+++ b/benchmarks/http_parsers.py
@@ -1,19 +1,15 @@
 """h11 beside httptools: CPU of reading one request and one answer, and the same hostile corpus, in one run.
 
-    .venv/bin/python benchmarks/http_parsers.py
+    .venv/bin/python -m benchmarks.http_parsers
 """
 
 from __future__ import annotations
 
-import sys
 import time
-from pathlib import Path
 
 import h11
 
-sys.path.insert(0, str(Path(__file__).parents[1]))
-
-from rushweir.edge.http import AnswerReader, Malformed, RequestReader  # noqa: E402
+from rushweir.edge.http import AnswerReader, Malformed, RequestReader
 
 REQUEST = (
     b"POST /api?customer=00000000b4d65521 HTTP/1.1\r\nHost: origin.svc\r\nReq-Id: 9b1f03aa5c7e2d41\r\n"
--- a/benchmarks/shared_ceilings.py
+++ b/benchmarks/shared_ceilings.py
@@ -1,7 +1,7 @@
 """What twelve processes serve of one ceiling, in simulated time: one ideal bucket, parts that are lent, the parts of
 the module without a fleet, and even parts for good.
 
-    python benchmarks/shared_ceilings.py
+    .venv/bin/python -m benchmarks.shared_ceilings
 
 Arrivals are Poisson; the busiest place asks ten times as much as any other and is another one every 5 s. The module's
 policies talk by mail with 3 ms of delay and 2% loss, as the lent parts do. Shares of what the ideal bucket serves.
--- a/benchmarks/websocket_libraries.py
+++ b/benchmarks/websocket_libraries.py
@@ -1,6 +1,6 @@
 """CPU of one message on its way client, relay, echo and back, without sockets, by WebSocket library.
 
-    pip install wsproto==1.3.2; python benchmarks/websocket_libraries.py
+    .venv/bin/pip install wsproto==1.3.2; .venv/bin/python -m benchmarks.websocket_libraries
 
 Both sides of each of the two connections are driven in memory by the library's sans-I/O protocol, 400 bytes of
 text a message. picows has no protocol without I/O (its parser is the asyncio protocol of a socket), so it can't be
