Plans have a number for good, and changed doors of a partner never spend two wholes

A plan's number in the quota mail was its place in the file: an ingress on other settings counted a customer by its neighbour's plan. A partner's old and new doors each had a whole of its ceiling until all had read the new.

A plan may have a slot, for good; slots that an ingress does not know grant nothing. Where a partner's doors change, an ingress acts on what it owns alone, the smaller of old and new, until it is told that all act on the change. The policy also learns of a busy partner's other doors, which it kept until the partner was idle.

--- a/rushweir/config/checks.py
+++ b/rushweir/config/checks.py
@@ -12,6 +12,7 @@
 from rushweir.config.text import Problem, Spot
 from rushweir.console.sessions import read_users
 from rushweir.costs.routes import RouteError, shape
+from rushweir.rollout.ceilings import MOST_PLANS
 
 
 def across(f: m.File, spots: Mapping[tuple, Spot], deltas: Mapping[str, Delta] | None = None) -> list[Problem]:
@@ -22,6 +23,14 @@
         out.append(Problem(spots[("ingress",)], f"ingress: number {me} of {count}: numbers begin at 0"))
     if not f.classes or not f.plans:
         out.append(Problem(spots.get(("classes",), Spot("", 1, 1)), "a class and a plan are needed"))
+    slots: dict[int, str] = {}
+    for name, plan in f.plans.items():
+        if (plan.slot is None) != (next(iter(f.plans.values())).slot is None):
+            out.append(Problem(spots[("plans", name)], f"plan {name}: slot: either all plans have one, or none"))
+        elif plan.slot is not None and (other := slots.setdefault(plan.slot, name)) != name:
+            out.append(Problem(spots[("plans", name, "slot")], f"plan {name}: slot: is that of {other}"))
+    if len(f.plans) > MOST_PLANS:
+        out.append(Problem(spots[("plans", next(iter(f.plans)))], f"plans: {MOST_PLANS} at most"))
     if not deltas:
         out += partners(f, ((name, f.partners.record(k)) for name, k in f.partners.slots.items()), spots)
     else:
--- a/rushweir/config/compact.py
+++ b/rushweir/config/compact.py
@@ -272,7 +272,7 @@
         self.seen = bytearray(len(self.places.lines)) if whole else None
         self.put: dict[str, tuple[Any, Place]] = {}
         self.moved: dict[str, Place] = {}  # the same as before, written otherwise
-        self.gone: list[str] = []
+        self.gone: dict[str, None] = {}
 
     def same(self, name: str, file: int, line: int, seal: bytes) -> bool:
         """Whether an object stands there as it did before; then its place is noted."""
@@ -293,7 +293,7 @@
         self.put[name] = record, place
 
     def end(self) -> None:
-        self.gone = [name for name, slot in self.group.slots.items() if not self.seen[slot]]
+        self.gone = {name: None for name, slot in self.group.slots.items() if not self.seen[slot]}
 
     def get(self, name: str) -> Any:
         """The record of an object as it will be; None: it will not be."""
--- a/rushweir/config/live.py
+++ b/rushweir/config/live.py
@@ -28,8 +28,10 @@
 from rushweir.config.reading import MOST_NAME, NAMED, Reading, Spots
 from rushweir.config.show import as_rows, differ
 from rushweir.config.text import Problem, Spot
+from rushweir.ingress.asks import Partner
 from rushweir.ingress.core import Core
 from rushweir.ingress.websocket import Setup
+from rushweir.rollout.ceilings import Doors, SlotError, acting
 from rushweir.rollout.steps import Change, Key
 
 FEW = 128  # changed objects of a kind that are put in place one by one, within a turn
@@ -62,7 +64,9 @@
     groups = {g: getattr(known.file, g) for g in MANY}
     reading = Reading(text_of(path), str(path), path.parent, groups, SHARED)
     shared = {f: getattr(known.file, f) for f in (*SINGLE, "classes", "plans")}
-    config = replace(checked(reading, shared), seat=known.seat)
+    config = replace(
+        checked(reading, shared), seat=known.seat, between=known.between, ways=known.ways, made=known.made
+    )
     for spot in known.spots:
         if spot[0] in shared:
             config.spots[spot] = known.spots[spot]
@@ -136,7 +140,38 @@
     file = file.model_copy(update=rest)
     if problems := checks.across(file, Ats(), deltas):
         raise refused(problems)
-    return replace(known, file=file, spots=spots), deltas
+    mine = deltas["partners"]
+    count = file.ingress[1]
+    slots, held = mine.group.slots, mine.group.held
+    had = {name: held.doors[slots[name]] for name in (*mine.put, *mine.gone) if name in slots}
+    had = {name: doors for name, doors in had.items() if _other(doors, mine.get(name), count)}
+    try:
+        between = known.between.changed(version, had) if count > 1 else known.between
+    except SlotError as bad:
+        raise Refused([(("partner", next(iter(had))), "through", str(bad))]) from None
+    return _acting(replace(known, file=file, spots=spots, between=between), mine), deltas
+
+
+def settled(known: Config, version: int) -> tuple[Config, dict[str, Delta]]:
+    """All ingresses act on a version, or on a later one."""
+    deltas = {g: _unmoved(getattr(known.file, g)) for g in MANY}
+    return _acting(replace(known, between=known.between.all_at_least(version)), deltas["partners"]), deltas
+
+
+def _other(doors: Doors, record: PartnerRecord | None, count: int) -> bool:
+    """Whether a partner has other doors than it had."""
+    return record is None or _plainly(doors, count) != _plainly(record[2], count)
+
+
+def _plainly(doors: Doors, count: int) -> Doors:
+    return (0, 0) if not 0 < doors[1] < count else doors
+
+
+def _acting(config: Config, mine: Delta) -> Config:
+    now = {n: (r[0], r[2]) for n in config.between.customers if (r := mine.get(n)) is not None}
+    plans = {p.name: p for _, p in config.plans()} if now else {}
+    ways, made = acting(config.between, now, plans, max(0, config.me), config.file.ingress[1], config.owned())
+    return replace(config, ways=ways, made=tuple(made))
 
 
 def _unmoved(group: Any) -> Delta:
@@ -148,7 +183,7 @@
     if record is not None:
         delta.note(name, record, Place(0, version, layout))
     elif name in delta.group.slots:
-        delta.gone.append(name)
+        delta.gone[name] = None
 
 
 NAME = re.compile(rf"[^\x00-\x1f\x7f]{{1,{MOST_NAME}}}")
@@ -180,7 +215,7 @@
     priced = known.file.pricing is not None or len(known.file.costs) > 0
     prices = new.file.pricing is not None or len(known.file.costs) + len(costs.put) > len(costs.gone)
     setup = None
-    if bound or priced != prices:
+    if bound or priced != prices or known.made != new.made:
         setup = make(new)
         setup = replace(setup, front=replace(setup.front, costs=new.costs(prices)))
         if known.file.nodes == new.file.nodes:  # the same object: nodes need not be looked at again
@@ -228,13 +263,18 @@
     setup = replace(prepared.setup or core.setup, credentials=partners.held)
     if setup.front.costs is not None:
         setup.front.costs.routes = routed.routes
+    known, new = prepared.beside, prepared.config
+    if new.ways != known.ways:
+        partners.held.acting = {n: Partner(n, a.plan, a.spread, a.first) for n, a in new.ways.items()}
+    names = {*mine.put, *mine.gone, *(n for n in (*known.ways, *new.ways) if known.ways.get(n) != new.ways.get(n))}
     usage = core.watch.usage
     usage.change({name: record[0] for name, (record, _) in mine.put.items()}, mine.gone)
     usage.source = partners.held  # as it is by now
     if prepared.setup is not None:
         setup.renew(core, now)
-        return
-    if core.setup.credentials is not partners.held:
+    elif core.setup.credentials is not partners.held:
         core.setup = setup
-    if mine.put or mine.gone:
-        core.setup.touch(core, now, {*mine.put, *mine.gone})
+    if names:
+        if prepared.setup is None:
+            core.setup.touch(core, now, names)
+        core.setup.moved(core, now, names)
--- a/rushweir/config/load.py
+++ b/rushweir/config/load.py
@@ -22,6 +22,9 @@
 from rushweir.ingress.websocket import Setup
 from rushweir.link.networks import AddressSet
 from rushweir.nodes.pool import PoolSettings
+from rushweir.policy.quota import KEPT_PART
+from rushweir.rollout import ceilings
+from rushweir.rollout.ceilings import Acting, Between
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,6 +46,9 @@
     spots: Spots = field(default_factory=Spots, repr=False)  # where each setting was read
     files: tuple[Path, ...] = ()  # the file, and what it includes
     seat: int = -1  # the number that the fleet gave, where the settings leave that to it
+    between: Between = field(default_factory=Between)  # partners whose doors changed, and not all know it
+    ways: Mapping[str, Acting] = field(default_factory=dict)  # how these act meanwhile
+    made: tuple[i.Plan, ...] = ()  # and by which plans
 
     def effective(self) -> Iterator[Setting]:
         """Every setting that holds, defaults too, in the order of the models."""
@@ -71,6 +77,26 @@
             view_ms=f.fleet.term, keep_ms=f.fleet.keep, per_s=f.fleet.rate, apps_per_s=f.budgets.rate,
         )  # fmt: skip
 
+    def plans(self) -> list[tuple[int | None, i.Plan]]:
+        """Plans with their slots."""
+        return [
+            (
+                p.slot,
+                i.Plan(
+                    name, p.rate, p.burst, p.open, p.ceiling_rate, p.ceiling_burst, p.ceiling_slack, p.price,
+                    p.over_worth, p.over_cost,
+                ),
+            )
+            for name, p in self.file.plans.items()
+        ]  # fmt: skip
+
+    def owned(self) -> float:
+        """The part of a ceiling that its doors own, all together, and that none of them has to ask for."""
+        f = self.file
+        if f.fleet is not None:
+            return f.budgets.floor
+        return 1 - KEPT_PART if f.peers is not None and f.counter is None else 1.0
+
     def settings(self) -> i.Settings:
         """The settings of the policy."""
         f, count = self.file, self.file.ingress[1]
@@ -84,13 +110,7 @@
                 )
                 for name, k in f.classes.items()
             ),
-            plans=tuple(
-                i.Plan(
-                    name, p.rate, p.burst, p.open, p.ceiling_rate, p.ceiling_burst, p.ceiling_slack, p.price,
-                    p.over_worth, p.over_cost,
-                )
-                for name, p in f.plans.items()
-            ),
+            plans=ceilings.arranged(self.plans(), self.made),
             rules=i.Rules(
                 f.rules.answer_slack, f.rules.drain_grace, f.rules.cold_share, f.rules.cold_time,
                 f.rules.fall_multiple, f.rules.fall_time,
--- a/rushweir/fronts/credentials.py
+++ b/rushweir/fronts/credentials.py
@@ -35,11 +35,12 @@
 class Credentials:
     """All partners, and the digests of their credentials. Iterated: name and plan of each."""
 
-    __slots__ = ("digests", "doors", "everywhere", "free", "kept", "names", "plans", "slots", "users")
+    __slots__ = ("acting", "digests", "doors", "everywhere", "free", "kept", "names", "plans", "slots", "users")
 
     def __init__(self, by_digest: Mapping[str, Partner] | None = None, everywhere: int = 1) -> None:
         """``everywhere``: how many ingresses there are, for partners that may use all."""
         self.everywhere = everywhere
+        self.acting: Mapping[str, Partner] = {}  # partners whose requests are counted otherwise for now
         self.slots: dict[str, int] = {}
         self.names: list[str] = []  # by slot; "": free
         self.plans: list[str] = []
@@ -70,6 +71,8 @@
         return None if slot is None else self._made(slot)
 
     def _made(self, slot: int) -> Partner:
+        if self.acting and (other := self.acting.get(self.names[slot])) is not None:
+            return other
         first, spread = self.doors[slot]
         return Partner(self.names[slot], self.plans[slot], spread or self.everywhere, first)
 
@@ -111,6 +114,7 @@
     def copy(self) -> Credentials:
         """For changes to many, made beside the loop."""
         other = Credentials(None, self.everywhere)
+        other.acting = self.acting
         for part in ("slots", "names", "plans", "doors", "kept", "digests", "free", "users"):
             setattr(other, part, getattr(self, part).copy())
         return other
--- a/rushweir/ingress/websocket.py
+++ b/rushweir/ingress/websocket.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Collection, Iterable
 from dataclasses import dataclass, field
+from zlib import crc32
 
 from rushweir.counter.client import CounterClient
 from rushweir.discovery.pushed import PushedList
@@ -60,6 +61,21 @@
                 self._look(core, client)
         core._run()
 
+    def moved(self, core: base.Core, now: float, names: Iterable[str]) -> None:
+        """These partners have other plans or doors. The policy has a customer's doors from its first request until it
+        is idle, which a busy one never is; and between the two nothing must fill by the one of each."""
+        quota = getattr(core.engine.policy, "quota", None)
+        for name in names if quota is not None else ():
+            c, partner = quota.customers.get(crc32(name.encode())), self.credentials.named(name)
+            if c is None or partner is None:
+                continue
+            quota.move(c, partner.plan, now)
+            if c.through != (partner.first, partner.spread):
+                quota.refill(c, now)
+                c.through = partner.first, partner.spread
+                c.doors, c.ranks = quota.around(c.hash, *c.through)
+                quota.refill(c, now)  # no more than the new part's burst
+
     def renew(self, core: base.Core, now: float) -> None:
         """As ``Core.reload`` does it, but the nodes are gone through only where their networks changed: each of
         thousands would be told to the policy again for a plan."""
