--- a/rushweir/lab/capacity/sheet.py
+++ b/rushweir/lab/capacity/sheet.py
@@ -22,6 +22,7 @@
 FILE = Path(__file__).with_name("roles.toml")
 COLUMNS = ("state", "messages", "bytes", "processor", "memory", "time")
 SUMS = ("", "ingress", "machine")
+SHARE = "share"  # how the names of figures end that are a part of a whole
 MISSING = "missing"  # how the text of a role without a mechanism begins
 
 
@@ -137,7 +138,10 @@
             continue
         target = letter.target(of[0].by)
         how = "/".join(dict.fromkeys(s.how for s in of))
-        found[key] = Figure(made.at(target), measures, target, of[0].by, made, how)
+        value = made.at(target)
+        if key[1].endswith(SHARE):  # no form knows that there is no more than all
+            value = min(1.0, value)
+        found[key] = Figure(value, measures, target, of[0].by, made, how)
     return found, short
 
 
--- a/rushweir/lab/capacity/tables.py
+++ b/rushweir/lab/capacity/tables.py
@@ -10,10 +10,11 @@
 from rushweir.lab.capacity.sheet import COLUMNS, Figure, Need, RoleText, Sheet, extrapolated, total
 
 NOT_MEASURED = "not measured"
+NEAR = 0.1  # a hollow ingress is as a real one
 SLOPES = (
-    "role", "need", "samples (how)", "sizes", "exponent", "form", "off by", "formula", "at the target", "allowed", "ratio",
+    "role", "need", "samples (how)", "sizes", "exponent", "form", "off by", "formula", "at the target", "allowed",
+    "ratio",
 )  # fmt: skip
-FIELDS = ("state", "messages", "bytes", "processor", "memory", "time")
 
 
 def table(head: Sequence[str], rows: Iterable[Sequence[str]]) -> list[str]:
@@ -42,7 +43,12 @@
     rows = [(k.replace("_", " "), units.plain(v)) for k, v in known.size.items()]
     rows += [(k.replace("_", " "), units.plain(v)) for k, v in known.events.items()]
     rows += [(f"allowed: {k.replace('_', ' ')}", units.text(*v)) for k, v in known.allowance.items()]
-    rows += [("worked out: requests a second of each ingress", units.plain(known.each_s("requests")))]
+    for what, text in (
+        ("requests", "requests a second of each ingress"),
+        ("changes", "changes of configuration a second"),
+        ("list_changes", "list_changes a second: three for each machine that fails or restarts"),
+    ):
+        rows.append((f"worked out: {text}", units.plain(known.each_s(what))))
     return table(("the letter", ""), rows)
 
 
@@ -55,7 +61,7 @@
             mine = [n for n in r.needs if n.column == column]
             cells.append("; ".join(f"{n.what}: {_figure(n)}" for n in mine) or "-")
         rows.append((f"**{r.title}**", *cells, r.mechanism))
-    return table(("role", *FIELDS, "mechanism"), rows)
+    return table(("role", *COLUMNS, "mechanism"), rows)
 
 
 def _figure(need: Need) -> str:
@@ -182,12 +188,15 @@
     rows = []
     for n in mine:
         if n.each is None:
-            rows.append((n.what, NOT_MEASURED, "-", units.text(*allowed), "-"))
+            rows.append((n.what, NOT_MEASURED, "-", units.text(*allowed) if n.allowed else "-", "-"))
             continue
-        core = units.text(n.each.value * each_s, "core") + extrapolated(n.each.factor)
-        rows.append((n.what, str(n.each), core, units.text(*allowed), ratio(n.each.value / allowed[0])))
+        # What 99 in 100 take is no processor time: it holds waits, and does not add up.
+        waits = n.sample.endswith("p99")
+        core = "-" if waits else units.text(n.each.value * each_s, "core") + extrapolated(n.each.factor)
+        allowance = ("-", "-") if n.allowed is None else (units.text(*allowed), ratio(n.each.value / allowed[0]))
+        rows.append((n.what, str(n.each), core, *allowance))
     at = f"at {units.plain(each_s)} a second"
-    return table(("of each request", "processor time", at, "may be added", "ratio"), rows)
+    return table(("of each request", "takes", at, "may be added", "ratio"), rows)
 
 
 def events(sheet: Sheet, document: dict[str, Any]) -> list[str]:
@@ -211,7 +220,28 @@
     return "until" if f.measures == "time" and "cpu" not in figure else "cost"
 
 
+def hollow(sheet: Sheet, document: dict[str, Any]) -> list[str]:
+    """Figures of hollow ingresses over those of real ones, in one run: at each size, and whether within a tenth."""
+    found = {}
+    for s in document["samples"]:
+        if s["role"] == "check":
+            found.setdefault(s["figure"], {})[s["size"]] = s["value"]
+    ratios = {f: v for f, v in found.items() if f.startswith(("fleet_", "mail_"))}
+    for f, values in found.items():
+        real = found.get(f.removesuffix("_hollow") + "_real") if f.endswith("_hollow") else None
+        if real is not None:
+            ratios[f.removesuffix("_hollow")] = {n: v / real[n] for n, v in values.items() if real.get(n)}
+    rows = []
+    for f, values in sorted(ratios.items()):
+        at = ", ".join(f"{n}: {units.plain(v)}" for n, v in sorted(values.items()))
+        far = [n for n, v in values.items() if abs(v - 1) > NEAR]
+        verdict = f"differs at {len(far)} of {len(values)}" if far else "within a tenth"
+        rows.append((f.replace("_", " "), at, verdict))
+    return table(("hollow over real", "by size", ""), rows or [("all", NOT_MEASURED, "-")])
+
+
 TABLES: dict[str, Callable[[Sheet, dict[str, Any]], list[str]]] = {
     "run": measured, "letter": letter, "decision": decision, "missing": missing, "roles": roles, "slopes": slopes,
     "ingress": sum_ingress, "machines": sum_machines, "path": path, "events": events,
+    "hollow": hollow,
 }  # fmt: skip
