Roles by calls have names of their own beside the hollow ones; events name their figures

The scale run has a role of a real request's path and one of the list among hollow ingresses: what measured the first twice is dropped, and the roles by calls are decisions and list_alone.

--- a/rushweir/lab/capacity/sheet.py
+++ b/rushweir/lab/capacity/sheet.py
@@ -22,7 +22,7 @@
 FILE = Path(__file__).with_name("roles.toml")
 COLUMNS = ("state", "messages", "bytes", "processor", "memory", "time")
 SUMS = ("", "ingress", "machine")
-SHARE = "share"  # how the names of figures end that are a part of a whole
+SHARES = ("served_", "working_", "missed_")  # how names of figures begin that are a part of a whole
 MISSING = "missing"  # how the text of a role without a mechanism begins
 
 
@@ -95,7 +95,7 @@
 class Sheet:
     letter: Letter
     roles: tuple[RoleText, ...]
-    events: tuple[dict[str, str], ...]
+    events: tuple[dict[str, Any], ...]
     figures: dict[tuple[str, str], Figure]  # by role and figure of the samples
     short: dict[tuple[str, str], int] = field(default_factory=dict)  # figures with too few sizes for a slope
 
@@ -104,6 +104,11 @@
         return [n for r in self.roles for n in r.needs]
 
 
+def share(figure: str) -> bool:
+    """Whether a figure is a part of a whole, by its name."""
+    return figure.endswith(("_share", "_served")) or figure.startswith(SHARES)
+
+
 def samples_of(document: dict[str, Any]) -> list[Sample]:
     """The samples of a file of the scale run. Raises SheetError."""
     if not isinstance(document, dict) or document.get("format") != 1:
@@ -139,7 +144,7 @@
         target = letter.target(of[0].by)
         how = "/".join(dict.fromkeys(s.how for s in of))
         value = made.at(target)
-        if key[1].endswith(SHARE):  # no form knows that there is no more than all
+        if share(key[1]):  # no form knows that there is no more than all
             value = min(1.0, value)
         found[key] = Figure(value, measures, target, of[0].by, made, how)
     return found, short
--- a/rushweir/lab/capacity/tables.py
+++ b/rushweir/lab/capacity/tables.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from rushweir.lab.capacity import units
-from rushweir.lab.capacity.sheet import COLUMNS, Figure, Need, RoleText, Sheet, extrapolated, total
+from rushweir.lab.capacity.sheet import COLUMNS, Figure, Need, RoleText, Sheet, extrapolated, share, total
 
 NOT_MEASURED = "not measured"
 NEAR = 0.1  # a hollow ingress is as a real one
@@ -203,21 +203,29 @@
     """What each event of the letter costs, what is served meanwhile, and how long until all is as before."""
     rows = []
     for e in sheet.events:
-        mine = {figure: f for (role, figure), f in sheet.figures.items() if role == e["role"]}
-        few = [f"{figure} ({n} sizes)" for (role, figure), n in sheet.short.items() if role == e["role"]]
-        kinds: dict[str, list[str]] = {"cost": [], "served": [], "until": []}
-        for figure, f in mine.items():
-            kinds[_of_event(figure, f)].append(f"{figure.replace('_', ' ')} {f}")
-        cells = ["; ".join(k) or NOT_MEASURED for k in kinds.values()]
-        note = f" (too few sizes for a slope: {', '.join(few)})" if few else ""
-        rows.append((e["title"] + note, e["often"], *cells))
+        cells = ["; ".join(_of_event(sheet, e, kind)) or NOT_MEASURED for kind in ("costs", "served", "until")]
+        rows.append((e["title"], e["often"], *cells))
     return table(("event", "how often", "costs", "served meanwhile", "until all is as before"), rows)
 
 
-def _of_event(figure: str, f: Figure) -> str:
-    if any(word in figure for word in ("served", "refused", "failed", "answered")):
+def _of_event(sheet: Sheet, event: dict[str, Any], kind: str) -> list[str]:
+    """The figures that an event's text names; all that are of that kind by their names, where it names none."""
+    role = event["role"]
+    known = [f for r, f in sheet.figures if r == role]
+    out = []
+    for figure in event.get(kind, [f for f in known if _kind(f, sheet.figures[role, f]) == kind]):
+        found, few = sheet.figures.get((role, figure)), sheet.short.get((role, figure))
+        if found is not None:
+            out.append(f"{figure.replace('_', ' ')} {found}")
+        elif few:
+            out.append(f"{figure.replace('_', ' ')} {NOT_MEASURED}: {few} sizes, four are wanted")
+    return out
+
+
+def _kind(figure: str, f: Figure) -> str:
+    if share(figure) or any(word in figure for word in ("refused", "failed", "answered")):
         return "served"
-    return "until" if f.measures == "time" and "cpu" not in figure else "cost"
+    return "until" if f.measures == "time" and "cpu" not in figure else "costs"
 
 
 def hollow(sheet: Sheet, document: dict[str, Any]) -> list[str]:
--- a/rushweir/lab/scale/pure_list.py
+++ b/rushweir/lab/scale/pure_list.py
@@ -46,7 +46,7 @@
 
 def watcher(size: int) -> Iterator[Sample]:
     """One ingress that watches, and a service that tells it."""
-    role, by, listed = "list", "backends", servers(size)
+    role, by, listed = "list_alone", "backends", servers(size)
     one, whole, delta = core(listed), text(listed, "full", 1), text(listed[:1], "delta", 2)
     version = itertools.count(2)
     times = itertools.count(2)
@@ -85,4 +85,4 @@
     yield Sample(role, "service_whole_cpu", "ms", by, size, written * 1e3, "core")
 
 
-ROLES = (Role("list", "Watching the list, and telling of it", "backends", LISTS, watcher),)
+ROLES = (Role("list_alone", "A change of the list and the whole, at one ingress", "backends", LISTS, watcher),)
--- a/rushweir/lab/scale/pure_policy.py
+++ b/rushweir/lab/scale/pure_policy.py
@@ -64,7 +64,7 @@
 
 def request_by_list(size: int) -> Iterator[Sample]:
     """A whole request of a customer that is known, and the timer of ten times a second, by backends in the list."""
-    role, by = "request", "backends"
+    role, by = "decisions", "backends"
     one = Ingress(settings(), servers(size))
     for k in range(REQUESTS):  # connections become known, rates learnt
         one.request(f"c{k % 50}")
@@ -158,7 +158,7 @@
 
 LISTS = (100, 500, 1_000, 3_000, 7_600)
 ROLES = (
-    Role("request", "A request's decisions, by the list's length", "backends", LISTS, request_by_list),
+    Role("decisions", "A request's decisions, by the list's length", "backends", LISTS, request_by_list),
     Role("newcomer", "A request of a customer not seen for 30 s, by ingresses", "ingresses", (3, 25, 100, 200, 700),
          request_by_ingresses),
     Role("customers", "Customers that an ingress knows", "tenants", (1_000, 2_000, 4_000, 8_000, 16_000), customers),
--- a/tests/lab/test_capacity.py
+++ b/tests/lab/test_capacity.py
@@ -19,7 +19,6 @@
     pure_counter,
     pure_list,
     pure_mail,
-    pure_path,
     pure_policy,
     pure_pool,
     pure_settings,
@@ -284,6 +283,8 @@
         *samples("fire", "sent_bytes", "B/s", {n: 10.0 * n for n in sizes}),
     ]
     cells = tables.events(made(tmp_path, played), {})[2].split(" | ")
+    named = tables.events(made(tmp_path, played, ROLES + 'costs = ["sent_bytes"]\nserved = []\nuntil = ["ever"]\n'), {})
+    assert named[2].split(" | ")[3:] == ["not measured", "not measured |"]  # what is named and not there is not measured
     assert cells[2:] == [
         "sent bytes 7 KB/s (extrapolated x7)", "served share 0.5 (extrapolated x7)",
         "until as before 70 s (extrapolated x7) |",
@@ -330,13 +331,11 @@
 def test_every_figure_that_a_need_names_has_a_form():
     """A need that names no figure of any role would stand as not measured for ever."""
     named = {n.sample.split(".")[0] for n in sheet.load([], letter.load()).needs}
-    hollow = {"ingress", "rate", "mail", "member", "seed", "chair", "budgets", "doors", "watcher"}
+    hollow = {"request", "list", "ingress", "rate", "mail", "member", "seed", "chair", "budgets", "doors", "watcher"}
     modules = (
-        pure_costs, pure_counter, pure_list, pure_mail, pure_path, pure_policy, pure_pool, pure_settings, pure_watch,
+        pure_costs, pure_counter, pure_list, pure_mail, pure_policy, pure_pool, pure_settings, pure_watch,
     )  # fmt: skip
     pure = {r.name for m in modules for r in m.ROLES}
     assert named <= pure | hollow and not pure & hollow
-    # Times on the wall are left out of a file that was measured while the machine had other work.
-    by_clock = {"request_path.added_p99", "request_path.not_served_share"}
-    absent = needed(sheet.samples_of(page.read(SAMPLES)), False) - by_clock
+    absent = needed(sheet.samples_of(page.read(SAMPLES)), False)
     assert {n for n in absent if n.split(".")[0] not in hollow} == set()
