--- a/rushweir/lab/capacity/tables.py
+++ b/rushweir/lab/capacity/tables.py
@@ -7,14 +7,14 @@
 from typing import Any
 
 from rushweir.lab.capacity import units
-from rushweir.lab.capacity.sheet import COLUMNS, Figure, Need, RoleText, Sheet, extrapolated, total
+from rushweir.lab.capacity.sheet import COLUMNS, Figure, Need, RoleText, Sheet, extrapolated, share, total
 
 NOT_MEASURED = "not measured"
+NEAR = 0.1  # a hollow ingress is as a real one
 SLOPES = (
-    "role", "need", "samples (how)", "sizes", "exponent", "form", "off by", "formula", "at the target",
-    "allowed", "ratio",
+    "role", "need", "samples (how)", "sizes", "exponent", "form", "off by", "formula", "at the target", "allowed",
+    "ratio",
 )  # fmt: skip
-FIELDS = ("state", "messages", "bytes", "processor", "memory", "time")
 
 
 def table(head: Sequence[str], rows: Iterable[Sequence[str]]) -> list[str]:
@@ -43,7 +43,12 @@
     rows = [(k.replace("_", " "), units.plain(v)) for k, v in known.size.items()]
     rows += [(k.replace("_", " "), units.plain(v)) for k, v in known.events.items()]
     rows += [(f"allowed: {k.replace('_', ' ')}", units.text(*v)) for k, v in known.allowance.items()]
-    rows += [("worked out: requests a second of each ingress", units.plain(known.each_s("requests")))]
+    for what, text in (
+        ("requests", "requests a second of each ingress"),
+        ("changes", "changes of configuration a second"),
+        ("list_changes", "list_changes a second: three for each machine that fails or restarts"),
+    ):
+        rows.append((f"worked out: {text}", units.plain(known.each_s(what))))
     return table(("the letter", ""), rows)
 
 
@@ -56,7 +61,7 @@
             mine = [n for n in r.needs if n.column == column]
             cells.append("; ".join(f"{n.what}: {_figure(n)}" for n in mine) or "-")
         rows.append((f"**{r.title}**", *cells, r.mechanism))
-    return table(("role", *FIELDS, "mechanism"), rows)
+    return table(("role", *COLUMNS, "mechanism"), rows)
 
 
 def _figure(need: Need) -> str:
@@ -183,36 +188,68 @@
     rows = []
     for n in mine:
         if n.each is None:
-            rows.append((n.what, NOT_MEASURED, "-", units.text(*allowed), "-"))
+            rows.append((n.what, NOT_MEASURED, "-", units.text(*allowed) if n.allowed else "-", "-"))
             continue
-        core = units.text(n.each.value * each_s, "core") + extrapolated(n.each.factor)
-        rows.append((n.what, str(n.each), core, units.text(*allowed), ratio(n.each.value / allowed[0])))
+        # What 99 in 100 take is no processor time: it holds waits, and does not add up.
+        waits = n.sample.endswith("p99")
+        core = "-" if waits else units.text(n.each.value * each_s, "core") + extrapolated(n.each.factor)
+        allowance = ("-", "-") if n.allowed is None else (units.text(*allowed), ratio(n.each.value / allowed[0]))
+        rows.append((n.what, str(n.each), core, *allowance))
     at = f"at {units.plain(each_s)} a second"
-    return table(("of each request", "processor time", at, "may be added", "ratio"), rows)
+    return table(("of each request", "takes", at, "may be added", "ratio"), rows)
 
 
 def events(sheet: Sheet, document: dict[str, Any]) -> list[str]:
     """What each event of the letter costs, what is served meanwhile, and how long until all is as before."""
     rows = []
     for e in sheet.events:
-        mine = {figure: f for (role, figure), f in sheet.figures.items() if role == e["role"]}
-        few = [f"{figure} ({n} sizes)" for (role, figure), n in sheet.short.items() if role == e["role"]]
-        kinds: dict[str, list[str]] = {"cost": [], "served": [], "until": []}
-        for figure, f in mine.items():
-            kinds[_of_event(figure, f)].append(f"{figure.replace('_', ' ')} {f}")
-        cells = ["; ".join(k) or NOT_MEASURED for k in kinds.values()]
-        note = f" (too few sizes for a slope: {', '.join(few)})" if few else ""
-        rows.append((e["title"] + note, e["often"], *cells))
+        cells = ["; ".join(_of_event(sheet, e, kind)) or NOT_MEASURED for kind in ("costs", "served", "until")]
+        rows.append((e["title"], e["often"], *cells))
     return table(("event", "how often", "costs", "served meanwhile", "until all is as before"), rows)
 
 
-def _of_event(figure: str, f: Figure) -> str:
-    if any(word in figure for word in ("served", "refused", "failed", "answered")):
+def _of_event(sheet: Sheet, event: dict[str, Any], kind: str) -> list[str]:
+    """The figures that an event's text names; all that are of that kind by their names, where it names none."""
+    role = event["role"]
+    known = [f for r, f in sheet.figures if r == role]
+    out = []
+    for figure in event.get(kind, [f for f in known if _kind(f, sheet.figures[role, f]) == kind]):
+        found, few = sheet.figures.get((role, figure)), sheet.short.get((role, figure))
+        if found is not None:
+            out.append(f"{figure.replace('_', ' ')} {found}")
+        elif few:
+            out.append(f"{figure.replace('_', ' ')} {NOT_MEASURED}: {few} sizes, four are wanted")
+    return out
+
+
+def _kind(figure: str, f: Figure) -> str:
+    if share(figure) or any(word in figure for word in ("refused", "failed", "answered")):
         return "served"
-    return "until" if f.measures == "time" and "cpu" not in figure else "cost"
+    return "until" if f.measures == "time" and "cpu" not in figure else "costs"
+
+
+def hollow(sheet: Sheet, document: dict[str, Any]) -> list[str]:
+    """Figures of hollow ingresses over those of real ones, in one run: at each size, and whether within a tenth."""
+    found = {}
+    for s in document["samples"]:
+        if s["role"] == "check":
+            found.setdefault(s["figure"], {})[s["size"]] = s["value"]
+    ratios = {f: v for f, v in found.items() if f.startswith(("fleet_", "mail_"))}
+    for f, values in found.items():
+        real = found.get(f.removesuffix("_hollow") + "_real") if f.endswith("_hollow") else None
+        if real is not None:
+            ratios[f.removesuffix("_hollow")] = {n: v / real[n] for n, v in values.items() if real.get(n)}
+    rows = []
+    for f, values in sorted(ratios.items()):
+        at = ", ".join(f"{n}: {units.plain(v)}" for n, v in sorted(values.items()))
+        far = [n for n, v in values.items() if abs(v - 1) > NEAR]
+        verdict = f"differs at {len(far)} of {len(values)}" if far else "within a tenth"
+        rows.append((f.replace("_", " "), at, verdict))
+    return table(("hollow over real", "by size", ""), rows or [("all", NOT_MEASURED, "-")])
 
 
 TABLES: dict[str, Callable[[Sheet, dict[str, Any]], list[str]]] = {
     "run": measured, "letter": letter, "decision": decision, "missing": missing, "roles": roles, "slopes": slopes,
     "ingress": sum_ingress, "machines": sum_machines, "path": path, "events": events,
+    "hollow": hollow,
 }  # fmt: skip
