Where ceilings are lent, changed doors hold on to nothing of the old home

A partner's other doors have another home for its budget: both lent the whole at once, and a home in between kept a third of what it lent itself.

In between two versions a member asks for a whole that it owns, so nothing of it is lent or kept; when its doors change it lets go of what it was lent, and takes no answer that is on its way. New doors open four terms after all act on the version, when nothing that the old home lent or kept is left. In ingress/membership.py one line: the floor of such a plan is all of it.

--- a/rushweir/config/live.py
+++ b/rushweir/config/live.py
@@ -153,7 +153,8 @@
 
 
 def settled(known: Config, version: int) -> tuple[Config, dict[str, Delta]]:
-    """All ingresses act on a version, or on a later one."""
+    """All ingresses act on a version, or on a later one; where ceilings are lent, they do so since ``OVER_TERMS`` of
+    the terms of budgets (rollout/ceilings.py)."""
     deltas = {g: _unmoved(getattr(known.file, g)) for g in MANY}
     return _acting(replace(known, between=known.between.all_at_least(version)), deltas["partners"]), deltas
 
@@ -170,7 +171,8 @@
 def _acting(config: Config, mine: Delta) -> Config:
     now = {n: (r[0], r[2]) for n in config.between.customers if (r := mine.get(n)) is not None}
     plans = {p.name: p for _, p in config.plans()} if now else {}
-    ways, made = acting(config.between, now, plans, max(0, config.me), config.file.ingress[1], config.owned())
+    lent = config.file.fleet is not None
+    ways, made = acting(config.between, now, plans, max(0, config.me), config.file.ingress[1], config.owned(), lent)
     return replace(config, ways=ways, made=tuple(made))
 
 
--- a/rushweir/ingress/membership.py
+++ b/rushweir/ingress/membership.py
@@ -18,6 +18,7 @@
 from rushweir.fleet.status import status
 from rushweir.fleet.views import SEATED
 from rushweir.ingress import commands as c
+from rushweir.rollout.ceilings import CLOSED
 
 if TYPE_CHECKING:
     from rushweir.ingress.asks import Partner
@@ -94,7 +95,9 @@
         plan = self.ceilings.get(partner.plan)
         if plan is not None:
             count = 0 if partner.spread >= self.fleet.settings.most else partner.spread
-            whole = Whole.of(plan.ceiling_rate, plan.ceiling_burst, self.floor, partner.first if count else 0, count)
+            # What is between two settings is owned whole: nothing of it is lent, or kept by a home.
+            floor = 1.0 if plan.name.startswith(CLOSED) else self.floor
+            whole = Whole.of(plan.ceiling_rate, plan.ceiling_burst, floor, partner.first if count else 0, count)
             self.budgets.demand(core.now, partner.name, whole, int(units * UNIT))
             self._parts(core)
 
--- a/rushweir/ingress/websocket.py
+++ b/rushweir/ingress/websocket.py
@@ -3,9 +3,12 @@
 from __future__ import annotations
 
 from collections.abc import Collection, Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from zlib import crc32
 
+from rushweir import interface as i
+from rushweir.budgets.core import Budgets
+from rushweir.budgets.records import NOTHING, Whole, key_of
 from rushweir.counter.client import CounterClient
 from rushweir.discovery.pushed import PushedList
 from rushweir.fronts.credentials import Credentials
@@ -17,6 +20,14 @@
 from rushweir.peers.datagram import Peers
 
 
+def let_go(budgets: Budgets, name: str) -> None:
+    """Spend nothing more of what was lent of a budget: its doors are others, and so is the home that counts it. What
+    is on its way is not taken either; where it was lent it counts until it is surely over."""
+    key = key_of(name)
+    if (held := budgets.held.get(key)) is not None:
+        budgets.held[key] = replace(held, whole=Whole(0, 0), lease=NOTHING, asked={}, told=NOTHING)
+
+
 @dataclass(frozen=True, slots=True)
 class Setup(base.Setup):
     front: FrontSettings = field(default_factory=FrontSettings)
@@ -72,6 +83,9 @@
             quota.move(c, partner.plan, now)
             if c.through != (partner.first, partner.spread):
                 quota.refill(c, now)
+                if core.fleet is not None:
+                    let_go(core.fleet.budgets, name)
+                    core.engine.part(now, i.Part(name, 0.0, 0.0))  # until the next request says what it has now
                 c.through = partner.first, partner.spread
                 c.doors, c.ranks = quota.around(c.hash, *c.through)
                 quota.refill(c, now)  # no more than the new part's burst
--- a/rushweir/rollout/ceilings.py
+++ b/rushweir/rollout/ceilings.py
@@ -32,6 +32,7 @@
 LOCAL = 8  # the last of them: plans that one ingress made up for what is in between; to all others they are closed
 MOST_PLANS = SLOTS - LOCAL
 MOST_BETWEEN = 4_096  # customers whose doors change at once
+OVER_TERMS = 4  # of budgets: so long after all act on a version nothing lent by an older one is left
 REMEMBERED_MS = 90_000.0  # a customer is remembered while idle for 30 s, and each request for its deadline at most
 
 CLOSED = "\x00closed"  # no name that settings can have
@@ -159,16 +160,21 @@
 
 def acting(
     between: Between, now: Mapping[str, tuple[str, Doors]], plans: Mapping[str, i.Plan], me: int, count: int,
-    owned: float,
+    owned: float, lent: bool = False,
 ) -> tuple[dict[str, Acting], list[i.Plan]]:  # fmt: skip
     """How requests of customers in between are told to the policy, and the plans made up for it. ``now``: plan and
-    doors that they have by the version that holds here. A plan without a ceiling needs nothing of this."""
+    doors that they have by the version that holds here. A plan without a ceiling needs nothing of this. ``lent``:
+    ceilings are budgets, of which whole units alone are owned."""
     ways: dict[str, Acting] = {}
     made: dict[str, i.Plan] = {}
     for name, (_, before) in between.customers.items():
         if name not in now or (plan := plans.get(now[name][0])) is None or not plan.ceiling_rate:
             continue
         part = share((*before, now[name][1]), me, count, owned)
+        burst = plan.ceiling_burst * part
+        if lent:
+            burst = float(int(burst + 1e-9))
+            part = part if burst else 0.0
         called = f"{CLOSED} {part:.12g} {plan.name}" if part else CLOSED
         if called not in made and called != CLOSED:
             # One slot is left for those that have no part. What there is no slot for is closed too.
@@ -177,7 +183,7 @@
             else:
                 made[called] = replace(
                     plan, name=called, rate=plan.rate * part, burst=plan.burst * part,
-                    ceiling_rate=plan.ceiling_rate * part, ceiling_burst=plan.ceiling_burst * part,
+                    ceiling_rate=plan.ceiling_rate * part, ceiling_burst=burst,
                     ceiling_slack=plan.ceiling_slack * part,
                     open_limit=max(1, int(plan.open_limit * part)) if plan.open_limit else 0,
                 )  # fmt: skip
