--- a/rushweir/config/compact.py
+++ b/rushweir/config/compact.py
@@ -10,7 +10,6 @@
 from array import array
 from collections.abc import Iterator, Mapping
 from functools import lru_cache
-from hashlib import blake2b
 from typing import Any, NamedTuple
 
 from rushweir.config import models as m
@@ -21,8 +20,7 @@
 from rushweir.costs.routes import Routes
 from rushweir.fronts.credentials import Credentials
 
-SEAL = 16  # bytes of the digest of a block's text
-UNSEALED = bytes(SEAL)  # of a block that is read each time
+UNSEALED = -1  # of a block that is read each time: no text has this hash
 TOLD = "control"  # the file's name of what came from the control processes
 MOST_LAYOUTS = 4_096  # shared; a layout beyond them stands for itself
 Layout = tuple[tuple[tuple, int, int], ...]  # path inside the block, lines below its first, column
@@ -33,14 +31,16 @@
     file: int
     line: int
     layout: Layout
-    seal: bytes = UNSEALED
+    seal: int = UNSEALED
 
 
 NOWHERE = Place(0, 0, ())
 
 
-def seal(text: str) -> bytes:
-    return blake2b(text.encode(), digest_size=SEAL).digest()
+def seal(text: str) -> int:
+    """A keyed hash of 64 bits, other in each process and kept nowhere else: one change in 2**64 goes unseen, and nobody
+    can aim at that. A cryptographic digest was the largest part of what an unchanged block costs."""
+    return hash(text)
 
 
 def shared(layout: Layout) -> Layout:
@@ -60,19 +60,16 @@
     def __init__(self) -> None:
         self.names: list[str] = [TOLD]  # of files
         self.files, self.lines, self.layouts = array("H"), array("I"), list[Layout]()
-        self.seals = bytearray()
+        self.seals = array("q")
 
     def put(self, slot: int, place: Place) -> None:
         while slot >= len(self.lines):
             self.files.append(0)
             self.lines.append(0)
             self.layouts.append(())
-            self.seals += UNSEALED
+            self.seals.append(UNSEALED)
         self.files[slot], self.lines[slot], self.layouts[slot] = place.file, place.line, place.layout
-        self.seals[slot * SEAL : (slot + 1) * SEAL] = place.seal
-
-    def sealed(self, slot: int, seal: bytes) -> bool:
-        return self.seals.startswith(seal, slot * SEAL)
+        self.seals[slot] = place.seal
 
     def place(self, slot: int) -> Place:
         return Place(self.files[slot], self.lines[slot], self.layouts[slot])
@@ -274,10 +271,10 @@
         self.moved: dict[str, Place] = {}  # the same as before, written otherwise
         self.gone: dict[str, None] = {}
 
-    def same(self, name: str, file: int, line: int, seal: bytes) -> bool:
+    def same(self, name: str, file: int, line: int, seal: int) -> bool:
         """Whether an object stands there as it did before; then its place is noted."""
         slot = self.group.slots.get(name)
-        if slot is None or self.seen[slot] or not self.places.sealed(slot, seal):
+        if slot is None or self.seen[slot] or self.places.seals[slot] != seal:
             return False
         self.seen[slot], self.places.files[slot], self.places.lines[slot] = 1, file, line
         return True
--- a/rushweir/config/reading.py
+++ b/rushweir/config/reading.py
@@ -16,7 +16,7 @@
 from pydantic import BaseModel, TypeAdapter, ValidationError
 
 from rushweir.config import models as m
-from rushweir.config.compact import TOLD, Costs, Delta, Group, Partners, Place, seal, shared
+from rushweir.config.compact import TOLD, UNSEALED, Costs, Delta, Group, Partners, Place, seal, shared
 from rushweir.config.reader import Reader, parsed
 from rushweir.config.split import PARTNER, Raw
 from rushweir.config.text import ConfigError, Directive, Problem, Spot
@@ -86,7 +86,7 @@
                 self.problems.append(Problem(d.spot, f"{d.name}: stands with the control processes, not in a file"))
             elif isinstance(item, Directive):
                 if item.name in MANY and len(item.values) == 1 and item.inner is not None:
-                    self._object(item, b"")
+                    self._object(item, UNSEALED)
                 else:
                     rest.append(item)
             elif not self._plain(*item):
@@ -135,7 +135,7 @@
         self._take(group, found[1], record, Place(number, raw.line, shared(_layout(found)), sealed))
         return True
 
-    def _object(self, d: Directive, sealed: bytes) -> None:
+    def _object(self, d: Directive, sealed: int) -> None:
         group, name = MANY[d.name], d.values[0].text
         if (line := self._stands(group, name)) is not None:
             self.problems.append(Problem(d.at(0), f"{d.name} {name}: stands twice, first in line {line}"))
@@ -155,7 +155,7 @@
         if any(s.file != first.file or s.line < first.line for s in spots.values()):
             layout = layout[:1]  # a part of it is included from another file: its spots stand for themselves
             self.spots.update({(group, name, *path): spot for path, spot in spots.items()})
-        place = Place(self._number(first.file), first.line, shared(tuple(layout)), sealed or bytes(16))
+        place = Place(self._number(first.file), first.line, shared(tuple(layout)), sealed)
         self._take(group, name, self.groups[group].recorded(name, made), place)
 
     def _take(self, group: str, name: str, record: Any, place: Place) -> None:
--- a/rushweir/config/split.py
+++ b/rushweir/config/split.py
@@ -23,8 +23,9 @@
     rf"^[ \t]*+({'|'.join(KINDS)})[ \t]++({_WORD}|{_TEXT})[ \t]*+\{{{_END}((?:{_FLAT})*+){_CLOSE}", re.M
 )  # possessive throughout: no text makes it look twice
 FLAT, OPEN, CLOSE = re.compile(_FLAT), re.compile(rf"(?:[ \t]++|{_WORD}|{_TEXT})*+\{{{_END}"), re.compile(_CLOSE)
-INCLUDE = re.compile(r"^[ \t]*+include(?![^\s{}#\"])", re.M)
-NAMELESS = re.compile(r"^[ \t]*+[\"{]", re.M)  # a line that begins with a value, not with a directive's name
+NAMELESS = re.compile(r"[ \t]*+[\"{]")  # a line that begins with a value, not with a directive's name
+# Such a line, or one that includes another file; a block with the first has no good form, with the second no own end.
+ODD = re.compile(r"^[ \t]*+(?:[\"{]|include(?![^\s{}#\"]))", re.M)
 # A partner as it is written by most hands and all programs.
 PARTNER = re.compile(
     rf"[ \t]*+partner[ \t]++({_WORD})[ \t]*+\{{\n[ \t]*+plan[ \t]++({_WORD})\n"
@@ -86,19 +87,20 @@
             rest.append(gap)
             line += gap.count("\n")
             at = m.end() - len(m[0])
-        if m[2][:1] == '"' and not unquoted(m[2]) or NAMELESS.search(m[3]):
+        start, end = m.span()
+        lines = whole.count("\n", start, end)
+        odd = ODD.search(whole, *m.span(3))
+        if odd is not None and odd[0][-1] in '"{':
             return "".join((*rest, whole[at:-1])), found
-        block = m[0]
-        lines = block.count("\n")
         if depth:
             nested.append(len(rest))
-            rest.append(block)
-        elif INCLUDE.search(m[3]):
-            rest.append(block)
+            rest.append(whole[start:end])
+        elif odd is not None:
+            rest.append(whole[start:end])
         else:
             found.add(line, m)
             rest.append("\n" * lines)
-        at, line = m.end(), line + lines
+        at, line = end, line + lines
     rest.append(whole[at:])
     if _depth(rest[-1], depth) > 0:
         for k in nested:
