--- a/rushweir/config/compact.py
+++ b/rushweir/config/compact.py
@@ -38,8 +38,8 @@
 
 
 def seal(text: str) -> int:
-    """A keyed hash of 64 bits, other in each process and kept nowhere else: one change in 2**64 goes unseen, and nobody
-    can aim at that. A cryptographic digest was the largest part of what an unchanged block costs."""
+    """A keyed hash of 64 bits, other in each process and kept nowhere else: one change in 2**64 goes unseen, and
+    nobody can aim at that. A cryptographic digest was the largest part of what an unchanged block costs."""
     return hash(text)
 
 
--- a/tests/rollout/test_applying.py
+++ b/tests/rollout/test_applying.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import asyncio
 from pathlib import Path
+from types import SimpleNamespace
 
 import pytest
 from hypothesis import given, settings
@@ -13,6 +15,7 @@
 from rushweir.config import ConfigError, live, load_text
 from rushweir.config.objects import Refused, objects
 from rushweir.config.text import Spot
+from rushweir.daemon.reloading import Reloading
 from rushweir.fronts.credentials import digest
 from rushweir.ingress.commands import Kind
 from rushweir.ingress.core import Core
@@ -263,6 +266,36 @@
         check([[drop("partner", "a")]], 128)
 
 
+# --- in a daemon ---------------------------------------------------------------------------------------
+
+
+def test_steps_in_a_daemon_come_one_after_the_other_and_a_bad_one_leaves_no_trace(monkeypatch):
+    g, told = Ingress(text_of("a")), []
+    monkeypatch.setattr(live, "FEW", 2)
+
+    def taken(config, changes):
+        service.config = config
+        told.append(len(changes))
+
+    service = SimpleNamespace(
+        config=g.config, core=g.core, clock=lambda: 1.0, shell=SimpleNamespace(carry_out=lambda: None), taken=taken,
+        _setup=lambda c: c.setup(),
+    )  # fmt: skip
+    reloading = Reloading(service)
+
+    async def body():
+        many = [put(n) for n in ("b", "c", "d")]  # beside the loop
+        done = await asyncio.gather(
+            reloading.step(many, 1), reloading.step([put("b", "x", "lead")], 2), reloading.step([put("b", "y")], 3),
+            reloading.step([Change(("budgets", ""), b"floor 0.5\n")], 4), return_exceptions=True,
+        )  # fmt: skip
+        assert done[0] is done[2] is None and isinstance(done[1], Refused)
+        assert done[3].wrong == [(("budgets", ""), "", "budgets: a change needs a restart, or serve --take-over")]
+
+    asyncio.run(body())
+    assert told == [3, 1] and g.client("y").partner.name == "b" and len(service.config.file.partners) == 4
+
+
 # --- beside a machine's own file ------------------------------------------------------------------------
 
 
