--- a/rushweir/cli/main.py
+++ b/rushweir/cli/main.py
@@ -9,7 +9,7 @@
 import click
 import orjson
 
-from rushweir.cli import operators
+from rushweir.cli import change, operators
 from rushweir.cli.changes import tell_changes
 
 
@@ -20,6 +20,7 @@
 
 
 operators.add_to(main)
+change.add_to(main)
 
 
 @main.command("console-user")
--- /dev/null
+++ b/rushweir/daemon/control_process.py
@@ -0,0 +1,397 @@
+"""A control process: the shell around ``Control``. It carries messages, writes and answers, and decides nothing.
+
+On its listening address two paths are served: ``/control`` for the other control processes, ``/watch`` for ingresses,
+by whoever was given as ``sessions``. Of two processes the one with the higher number dials. Operators come by a Unix
+socket (control_operators.py). Writes are done in a thread, all that wait at once, with one fsync.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import secrets
+import signal
+from collections import deque
+from collections.abc import Callable
+from typing import Any, Protocol
+
+from rushweir.config.control import ControlConfig
+from rushweir.daemon.control_files import ControlFiles
+from rushweir.daemon.control_wires import Dials, Served
+from rushweir.daemon.notify import notify
+from rushweir.link import rpc
+from rushweir.link.upstream import Upstream
+from rushweir.rollout.control import Control
+from rushweir.rollout.control_mail import MOST_TEXT, NONCE, OPEN, READY, Mail, MailError
+from rushweir.rollout.orders import Answered, Append, Committed, Jumped, Note, Objects, Rewrite, Send
+from rushweir.rollout.steps import Change, Step
+
+PAUSE_MS, CONNECT_MS, PING_MS = (100.0, 1_000.0), 1_000.0, 1_000.0
+MOST_FORWARDED = 64  # proposals that another process was asked to make
+FORWARD_S = 20.0  # until its answer is no longer waited for
+BACKLOG = 1_024
+
+
+def changes_of(rows: list[Any]) -> tuple[Change, ...]:
+    """Rows of kind, name and data. Raises ValueError."""
+    found = []
+    for row in rows:
+        match row:
+            case [str(kind), str(name), bytes() | None as data]:
+                found.append(Change((kind, name), data))
+            case _:
+                raise ValueError("a change is a kind, a name, and data or nothing")
+    return tuple(found)
+
+
+class Sessions(Protocol):
+    """Those that watch: what the control process tells it, and asks of it by ``orders``: each has ``conn`` and
+    ``data`` (send), ``conn`` and ``why`` (close), or ``told`` (for the other control processes)."""
+
+    orders: deque[Any]
+
+    def jumped(self, now: float, number: int, objects: Objects) -> None: ...
+
+    def committed(self, now: float, step: Step) -> None: ...
+
+    def set_current(self, now: float, current: bool) -> None: ...
+
+    def opened(self, now: float, conn: int) -> None: ...
+
+    def received(self, now: float, conn: int, text: bytes | str) -> None: ...
+
+    def set_writable(self, now: float, conn: int, writable: bool) -> None: ...
+
+    def closed(self, now: float, conn: int) -> None: ...
+
+    def take_report(self, now: float, told: Any) -> None: ...
+
+    def next_at(self) -> float | None: ...
+
+    def advance(self, now: float) -> None: ...
+
+
+class Line:
+    """A connection to another control process, whichever side dialed."""
+
+    def __init__(self, process: ControlProcess, send: Callable[[bytes], None], close: Callable[[str], None]) -> None:
+        self.process, self.send_text, self.close = process, send, close
+        config = process.config
+        self.mail = Mail(config.me, config.count, config.key, secrets.token_bytes(NONCE))
+        self.send_text(self.mail.hello())
+
+    def send(self, body: list[Any]) -> None:
+        self.send_text(self.mail.write(body))
+
+    def text(self, text: bytes | str) -> None:
+        self._take(self.mail.read, text)
+
+    def call(self, call: rpc.Call | rpc.Reply) -> None:
+        self._take(self.mail.take, call)
+
+    def _take(self, read: Callable[[Any], list[Any] | None], given: Any) -> None:
+        before = self.mail.state
+        try:
+            body = read(given)
+        except MailError as problem:
+            self.process.log("warning", "control_link_refused", peer=self.mail.peer, why=str(problem))
+            self.close(str(problem))
+            return
+        if body is not None:
+            self.process.received(self, body)
+        elif self.mail.state is READY:
+            self.send([])
+        elif self.mail.state is OPEN and before is READY:
+            self.process.line_up(self)
+
+    def writable(self, on: bool) -> None:
+        """The bound on what waits is the transport's: beyond it the connection ends, and the log's way goes on."""
+
+    def lost(self) -> None:
+        self.process.line_down(self)
+
+
+class Dialed:
+    """Owns a link that goes out (link/upstream.py)."""
+
+    def __init__(self, process: ControlProcess, peer: int, dials: Dials) -> None:
+        self.process, self.dials, self.line = process, dials, None
+        host, port = process.config.addresses[peer]
+        url = f"ws://[{host}]:{port}/control" if ":" in host else f"ws://{host}:{port}/control"
+        self.link = Upstream(
+            self, url, {}, seed=secrets.randbits(32), new_conn=dials.new_conn,
+            at=lambda when, what, argument: dials.at(when, what, argument, self.link), pause_ms=PAUSE_MS,
+            connect_ms=CONNECT_MS, ping_ms=PING_MS, max_message=MOST_TEXT,
+        )  # fmt: skip
+        self.link.start(process.clock())
+        dials.carry(self.link)
+
+    def opened(self) -> None:
+        self.line = Line(self.process, self._send, self._close)
+
+    def _send(self, text: bytes) -> None:
+        self.link.send(text)
+        self.dials.carry(self.link)
+
+    def _close(self, why: str) -> None:
+        self.link.drop(self.process.clock())
+        self.dials.carry(self.link)
+
+    def message(self, message: rpc.Call | rpc.Reply) -> None:
+        if self.line is not None:
+            self.line.call(message)
+
+    def bad_message(self, why: str) -> None:
+        self._close(why)
+
+    def link_lost(self, was_open: bool) -> None:
+        line, self.line = self.line, None
+        if line is not None:
+            line.lost()
+
+
+class Watcher:
+    """A connection of one that watches; its messages are its sessions' affair."""
+
+    def __init__(self, process: ControlProcess, wire: Served) -> None:
+        self.process, self.wire = process, wire
+        process.watchers_serial += 1
+        self.conn = process.watchers_serial
+        process.watchers[self.conn] = wire
+        process.tell_sessions("opened", self.conn)
+
+    def text(self, text: bytes | str) -> None:
+        self.process.tell_sessions("received", self.conn, text)
+
+    def writable(self, on: bool) -> None:
+        self.process.tell_sessions("set_writable", self.conn, on)
+
+    def lost(self) -> None:
+        self.process.watchers.pop(self.conn, None)
+        self.process.tell_sessions("closed", self.conn)
+
+
+class ControlProcess:
+    """Runs one. Raises lock.Held, StorageError, OSError at its start."""
+
+    def __init__(
+        self, config: ControlConfig, files: ControlFiles, clock: Callable[[], float], log: Callable[..., None],
+        sessions: Sessions | None = None,
+    ) -> None:  # fmt: skip
+        """``log(level, cause, **fields)`` takes a line."""
+        self.config, self.files, self.clock, self.log, self.sessions = config, files, clock, log, sessions
+        self.core = Control(config.me, config.count, files.kept, secrets.randbits(63), clock())
+        self.lines: dict[int, Line] = {}
+        self.watchers: dict[int, Served] = {}
+        self.watchers_serial = self.tickets = 0
+        self.answers: dict[int, asyncio.Future[Answered]] = {}
+        self.forwarded: dict[int, tuple[int, asyncio.Future[Answered]]] = {}  # by ticket: whom it was given to
+        self.writes: list[Append | Rewrite] = []
+        self.writing: asyncio.Task | None = None
+        self.timer: asyncio.TimerHandle | None = None
+        self.ending = asyncio.Event()
+        self.failed = self.carrying = False
+        self.wires: set[Served] = set()
+        self.tasks: set[asyncio.Task] = set()
+
+    # --- start and end ---------------------------------------------------------------------------
+
+    async def run(self, say: Callable[[str], None], operators: Callable[[ControlProcess], Any]) -> int:
+        """Until SIGTERM or a disk that fails; the exit code. ``operators``: opens their socket, and closes it."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self.ending.set)
+        dials = Dials(self.clock)
+        self.core.start(self.clock())
+        self.carry_out()
+        paths: dict[str, Callable] = {"/control": lambda wire: Line(self, wire.send, wire.close)}
+        if self.sessions is not None:
+            paths["/watch"] = lambda wire: Watcher(self, wire)
+        host, port = self.config.addresses[self.config.me]
+        server = await loop.create_server(
+            lambda: Served(paths, self.wires, MOST_TEXT), host, port, backlog=BACKLOG, reuse_address=True
+        )
+        try:
+            async with operators(self):
+                self.dialed = [Dialed(self, peer, dials) for peer in range(self.config.me)]
+                say(f"control {self.config.me} listens on {host}:{server.sockets[0].getsockname()[1]}")
+                notify("READY=1")
+                await self.ending.wait()
+        finally:
+            server.close()
+            if self.timer is not None:
+                self.timer.cancel()
+            await dials.close()
+            for wire in list(self.wires):
+                if wire.transport is not None:
+                    wire.transport.abort()
+            if self.writing is not None:
+                await asyncio.wait([self.writing])
+            self.files.close()
+        return 1 if self.failed else 0
+
+    # --- other control processes -----------------------------------------------------------------
+
+    def line_up(self, line: Line) -> None:
+        """The newest connection of a peer holds: its old one, if there is one, is one that only this side has."""
+        peer = line.mail.peer
+        old, self.lines[peer] = self.lines.get(peer), line
+        if old is not None:
+            old.close("replaced")
+        self.log("info", "control_linked", peer=peer)
+        self.core.linked(self.clock(), peer)
+        self.carry_out()
+
+    def line_down(self, line: Line) -> None:
+        peer = line.mail.peer
+        if self.lines.get(peer) is not line:
+            return
+        del self.lines[peer]
+        self.log("info", "control_unlinked", peer=peer)
+        for ticket, (to, future) in list(self.forwarded.items()):
+            if to == peer and not future.done():
+                why = f"the connection to control process {peer}, which leads, was lost: the change may be in force"
+                future.set_result(Answered(ticket, None, why, -1, unsure=True))
+
+    def received(self, line: Line, body: list[Any]) -> None:
+        peer = line.mail.peer
+        if self.lines.get(peer) is not line or not body:
+            return
+        match body:
+            case ["propose", int(ticket), list(rows), str(author), int() | None as base]:
+                task = asyncio.get_running_loop().create_task(self._propose_for(peer, ticket, rows, author, base))
+                self.tasks.add(task)
+                task.add_done_callback(self.tasks.discard)
+            case ["proposed", int(ticket), number, str(why), int(leader), bool(unsure)]:
+                if ticket in self.forwarded and not self.forwarded[ticket][1].done():
+                    self.forwarded[ticket][1].set_result(Answered(ticket, number, why, leader, unsure))
+            case ["report", told]:
+                self.tell_sessions("take_report", told)
+            case _:
+                self.core.message(self.clock(), peer, body)
+                self.carry_out()
+
+    # --- proposals -------------------------------------------------------------------------------
+
+    async def propose(self, changes: tuple[Change, ...], author: str, base: int | None) -> Answered:
+        """Here, or by the one that leads."""
+        leader = self.core.leader
+        if leader in self.lines and leader != self.config.me and len(self.forwarded) < MOST_FORWARDED:
+            self.tickets += 1
+            ticket, future = self.tickets, asyncio.get_running_loop().create_future()
+            self.forwarded[ticket] = (leader, future)
+            try:
+                self.lines[leader].send(["propose", ticket, [[*c.key, c.data] for c in changes], author, base])
+                return await asyncio.wait_for(future, FORWARD_S)
+            except TimeoutError:
+                why = f"control process {leader}, which leads, does not answer: the change may come into force yet"
+                return Answered(ticket, None, why, -1, unsure=True)
+            finally:
+                del self.forwarded[ticket]
+        return await self._propose(changes, author, base)
+
+    async def _propose(self, changes: tuple[Change, ...], author: str, base: int | None) -> Answered:
+        self.tickets += 1
+        ticket = self.tickets
+        future = self.answers[ticket] = asyncio.get_running_loop().create_future()
+        self.core.propose(self.clock(), ticket, changes, author, base)
+        self.carry_out()
+        return await future
+
+    async def _propose_for(self, peer: int, ticket: int, rows: list, author: str, base: int | None) -> None:
+        try:
+            changes = changes_of(rows)
+        except ValueError as problem:
+            self.log("error", "bad_proposal", peer=peer, why=str(problem))
+            return
+        a = await self._propose(changes, author, base)
+        if peer in self.lines:
+            self.lines[peer].send(["proposed", ticket, a.number, a.why, a.leader, a.unsure])
+
+    # --- orders ----------------------------------------------------------------------------------
+
+    def carry_out(self) -> None:
+        if self.carrying:
+            return
+        self.carrying = True
+        try:
+            while self.core.orders:
+                self._carry(self.core.orders.popleft())
+        finally:
+            self.carrying = False
+        if self.sessions is not None:
+            self.sessions.set_current(self.clock(), self.core.status(self.clock())["majority"])
+            self._carry_sessions()
+        self._set_timer()
+        if self.writes and self.writing is None:
+            self.writing = asyncio.get_running_loop().create_task(self._write())
+
+    def _carry(self, order: Any) -> None:
+        match order:
+            case Send():
+                if (line := self.lines.get(order.peer)) is not None:
+                    line.send(order.body)
+            case Append() | Rewrite():
+                self.writes.append(order)
+            case Answered():
+                if (future := self.answers.pop(order.ticket, None)) is not None and not future.done():
+                    future.set_result(order)
+            case Note():
+                self.log(order.level, order.cause, **order.fields)
+            case Committed():
+                self.log("info", "step_in_force", number=order.step.number, author=order.step.author)
+                if self.sessions is not None:
+                    self.sessions.committed(self.clock(), order.step)
+            case Jumped() if self.sessions is not None:
+                self.sessions.jumped(self.clock(), order.number, order.objects)
+
+    async def _write(self) -> None:
+        """All that waits, with one fsync, until nothing waits."""
+        try:
+            while self.writes:
+                orders, self.writes = self.writes, []
+                serial = await asyncio.to_thread(self.files.carry, orders)
+                self.core.kept(self.clock(), serial)
+                self.carry_out()
+        except OSError as problem:
+            self.log("error", "disk_failed", path=str(self.files.path), why=str(problem))
+            self.failed = True
+            self.ending.set()
+            return  # nothing is written behind it any more
+        self.writing = None
+
+    def _set_timer(self) -> None:
+        times = [self.core.next_at(), self.sessions.next_at() if self.sessions is not None else None]
+        due = min((t for t in times if t is not None), default=None)
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
+        if due is not None:
+            wait = max(0.0, (due - self.clock()) / 1000)
+            self.timer = asyncio.get_running_loop().call_later(wait, self._tick)
+
+    def _tick(self) -> None:
+        now = self.clock()
+        self.core.advance(now)
+        if self.sessions is not None:
+            self.sessions.advance(now)
+        self.carry_out()
+
+    # --- those that watch ------------------------------------------------------------------------
+
+    def tell_sessions(self, what: str, *given: Any) -> None:
+        if self.sessions is not None:
+            getattr(self.sessions, what)(self.clock(), *given)
+            self.carry_out()
+
+    def _carry_sessions(self) -> None:
+        orders = self.sessions.orders if self.sessions is not None else ()
+        while orders:
+            order = orders.popleft()
+            if hasattr(order, "told"):
+                for line in self.lines.values():
+                    line.send(["report", order.told])
+            elif (wire := self.watchers.get(order.conn)) is not None:
+                if hasattr(order, "data"):
+                    wire.send(order.data)
+                else:
+                    wire.close(order.why)
--- /dev/null
+++ b/rushweir/daemon/control_wires.py
@@ -0,0 +1,225 @@
+"""Connections of a control process on asyncio's transports. They carry; what is said on them is others' affair.
+
+What comes in is WebSocket, to a path that somebody serves; a link that goes out is an ``Upstream``, which dials again
+after a growing, jittered pause (link/upstream.py).
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import Callable
+from typing import Any, Protocol
+
+from websockets.frames import CloseCode
+from websockets.http11 import Request
+
+from rushweir.ingress import commands as c
+from rushweir.link.upstream import Upstream
+from rushweir.link.websocket import Messages, server_protocol
+
+MOST_CONNECTIONS = 4_096  # that came in
+MOST_UNSENT = 16_777_216  # bytes that wait for one connection; beyond it is ended
+HANDSHAKE_S = 5.0
+
+
+class Session(Protocol):
+    """What serves one connection that came in."""
+
+    def text(self, text: bytes | str) -> None: ...
+
+    def writable(self, on: bool) -> None: ...
+
+    def lost(self) -> None: ...
+
+
+class Served(asyncio.Protocol):
+    """One connection that came in."""
+
+    def __init__(self, paths: dict[str, Callable[[Served], Session]], open_: set[Served], most: int) -> None:
+        """``paths``: what serves each; ``most``: bytes of a message."""
+        self.paths, self.open, self.most = paths, open_, most
+        self.proto = server_protocol(most)
+        self.messages: Messages | None = None
+        self.session: Session | None = None
+        self.transport: asyncio.Transport | None = None
+
+    def connection_made(self, transport: Any) -> None:
+        self.transport = transport
+        self.open.add(self)
+        if len(self.open) > MOST_CONNECTIONS:
+            transport.abort()
+            return
+        transport.set_write_buffer_limits(high=262_144)
+        asyncio.get_running_loop().call_later(HANDSHAKE_S, self._late)
+
+    def _late(self) -> None:
+        if self.messages is None and self.transport is not None:
+            self.transport.abort()
+
+    def data_received(self, data: bytes) -> None:
+        if self.messages is None:
+            self._shake(data)
+            return
+        for text in self.messages.receive(data):
+            if self.session is not None:
+                self.session.text(text)
+        self.flush()
+
+    def _shake(self, data: bytes) -> None:
+        self.proto.receive_data(data)
+        request = next(iter(self.proto.events_received()), None)
+        if not isinstance(request, Request):
+            if self.proto.handshake_exc is not None and self.transport is not None:
+                self.transport.abort()
+            return
+        serve = self.paths.get(request.path)
+        if serve is None:
+            self.proto.send_response(self.proto.reject(404, "nothing is served at this path\n"))
+        else:
+            self.proto.send_response(self.proto.accept(request))
+        self.messages = Messages(self.proto)
+        self.flush()
+        if serve is not None and self.messages.open:
+            self.session = serve(self)
+            for text in self.messages.messages():
+                self.session.text(text)
+        self.flush()
+
+    def send(self, text: bytes) -> None:
+        if self.messages is not None:
+            self.messages.send(text)
+            self.flush()
+
+    def close(self, why: str) -> None:
+        if self.messages is not None:
+            self.messages.close(CloseCode.POLICY_VIOLATION, why)
+            self.flush()
+        if self.transport is not None:
+            self.transport.close()
+
+    def flush(self) -> None:
+        transport = self.transport
+        if self.messages is None or transport is None or transport.is_closing():
+            return
+        writes, end = self.messages.take()
+        if writes:
+            transport.write(b"".join(writes))
+        if end:
+            transport.close()
+        elif transport.get_write_buffer_size() > MOST_UNSENT:
+            transport.abort()
+
+    def pause_writing(self) -> None:
+        if self.session is not None:
+            self.session.writable(False)
+
+    def resume_writing(self) -> None:
+        if self.session is not None:
+            self.session.writable(True)
+
+    def connection_lost(self, problem: Exception | None) -> None:
+        self.open.discard(self)
+        self.transport = None
+        session, self.session = self.session, None
+        if session is not None:
+            session.lost()
+
+
+class Dials:
+    """Carries out the orders of links that go out."""
+
+    def __init__(self, clock: Callable[[], float]) -> None:
+        self.clock, self.loop = clock, asyncio.get_running_loop()
+        self.serial = 0
+        self.links: dict[int, Upstream] = {}
+        self.transports: dict[int, asyncio.Transport] = {}
+        self.tasks: dict[int, asyncio.Task] = {}
+        self.dead = False
+
+    def new_conn(self, link: Upstream) -> int:
+        self.serial += 1
+        self.links[self.serial] = link
+        return self.serial
+
+    def at(self, when: float, what: Callable[..., None], argument: Any, link: Upstream) -> None:
+        self.loop.call_later(max(0.0, (when - self.clock()) / 1000), self._due, what, argument, link)
+
+    def _due(self, what: Callable[..., None], argument: Any, link: Upstream) -> None:
+        if not self.dead:
+            link.now = self.clock()
+            what(argument)
+            self.carry(link)
+
+    def carry(self, link: Upstream) -> None:
+        orders, link.out = link.out, []
+        for order in orders:
+            transport = self.transports.get(getattr(order, "conn", 0))
+            match order:
+                case c.Dial():
+                    task = self.tasks[order.conn] = self.loop.create_task(self._connect(order))
+                    task.add_done_callback(lambda done, conn=order.conn: self._dialed(conn, done))
+                case c.Write() if transport is not None and not transport.is_closing():
+                    transport.write(order.data)
+                    if transport.get_write_buffer_size() > MOST_UNSENT:
+                        transport.abort()
+                case c.CloseConn() if transport is not None:
+                    transport.close()
+                case c.AbortConn():
+                    self.links.pop(order.conn, None)
+                    if (task := self.tasks.get(order.conn)) is not None:
+                        task.cancel()
+                    if transport is not None:
+                        transport.abort()
+
+    async def _connect(self, order: c.Dial) -> None:
+        async with asyncio.timeout(order.timeout_ms / 1000):
+            await self.loop.create_connection(lambda: _Dialed(self, order.conn), order.host, order.port)
+
+    def _dialed(self, conn: int, task: asyncio.Task) -> None:
+        self.tasks.pop(conn, None)
+        link = self.links.get(conn)
+        if link is not None and not self.dead and (task.cancelled() or task.exception() is not None):
+            link.dial_failed(self.clock(), conn)
+            self.carry(link)
+        elif not task.cancelled():
+            task.exception()  # looked at, else the loop says that nobody did
+
+    async def close(self) -> None:
+        self.dead = True
+        for transport in self.transports.values():
+            transport.abort()
+        tasks = list(self.tasks.values())
+        for task in tasks:
+            task.cancel()
+        with contextlib.suppress(Exception):
+            await asyncio.gather(*tasks, return_exceptions=True)
+
+
+class _Dialed(asyncio.Protocol):
+    """A connection that was dialed."""
+
+    def __init__(self, dials: Dials, conn: int) -> None:
+        self.dials, self.conn = dials, conn
+
+    def connection_made(self, transport: Any) -> None:
+        link = self.dials.links.get(self.conn)
+        if link is None or self.dials.dead:
+            transport.abort()
+            return
+        self.dials.transports[self.conn] = transport
+        link.dialed(self.dials.clock(), self.conn)
+        self.dials.carry(link)
+
+    def data_received(self, data: bytes) -> None:
+        link = self.dials.links.get(self.conn)
+        if link is not None and not self.dials.dead:
+            link.received(self.dials.clock(), self.conn, data)
+            self.dials.carry(link)
+
+    def connection_lost(self, problem: Exception | None) -> None:
+        self.dials.transports.pop(self.conn, None)
+        link = self.dials.links.pop(self.conn, None)
+        if link is not None and not self.dials.dead:
+            link.lost(self.dials.clock(), self.conn)
+            self.dials.carry(link)
--- a/rushweir/lab/sim/control_world.py
+++ b/rushweir/lab/sim/control_world.py
@@ -112,6 +112,8 @@
             self._relink_later(pair)
             return
         self.up[pair] = True
+        self.free_at.pop(pair, None)
+        self.free_at.pop((b, a), None)
         for p, other in zip(ends, (b, a), strict=True):
             p.core.core.linked(p.clock(self.world.now), other)
             self.world._turned(p)
--- a/rushweir/link/upstream.py
+++ b/rushweir/link/upstream.py
@@ -69,6 +69,12 @@
         if self.state is not AWAY:
             self._lost()
 
+    def drop(self, now: float) -> None:
+        """What came on it is of no use: it ends, and is tried again after a pause."""
+        self.now = now
+        if self.state is not AWAY:
+            self._lost()
+
     def call(self, method: str, params: dict[str, Any], number: int | None = None) -> None:
         """Send a request; ``number`` is its id, else one is made."""
         assert self.messages is not None
@@ -76,6 +82,12 @@
         self.messages.send(rpc.call(method, params, self.serial if number is None else number))
         self._flush()
 
+    def send(self, text: bytes) -> None:
+        """Send a message that is written already."""
+        if self.messages is not None and self.state is OPEN:
+            self.messages.send(text)
+            self._flush()
+
     # --- what happens to the connection ----------------------------------------------------------
 
     def dialed(self, now: float, conn: int) -> None:
--- a/rushweir/rollout/control.py
+++ b/rushweir/rollout/control.py
@@ -83,6 +83,7 @@
         # The highest position of each, by its own word or by another's; and as it lies on disk.
         self.heard = list(kept.heard) if len(kept.heard) == count else [0] * count
         self.heard[me], self.heard_kept = kept.position, list(kept.heard)
+        self.stale: set[int] = set()  # whose disk is an older copy, until it comes with another
         self.outdated = kept.old > 0  # its disk is an older copy
         self.election = Election(self, kept.term, kept.voted)
         self.follower = Follower(self)
@@ -150,6 +151,8 @@
     def linked(self, now: float, peer: int) -> None:
         """There is a new stream to a peer; what was on its way is lost."""
         self.now = now
+        # The first word on it, before any write could hide that the disk is an older copy. It speaks in no term.
+        self._send(Send(peer, ["here", self.term, 0]))
         if peer in self.peers:
             self.peers[peer].linked()
 
@@ -167,7 +170,7 @@
             return
         if self._is_outdated(source, position, kind):
             return
-        if term > self.election.term and kind != "pre":
+        if term > self.election.term and kind not in ("pre", "here"):
             self.election.newer(term)
         try:
             handler.act(self, source, term, rest)
@@ -176,7 +179,11 @@
             self.note("error", "bad_message", peer=source, kind=kind, why=str(problem)[:200])
 
     def _is_outdated(self, source: int, position: int, kind: str) -> bool:
-        if position >= self.heard[source]:
+        if position < self.heard[source]:
+            self.stale.add(source)
+        elif kind == "here":
+            self.stale.discard(source)
+        if source not in self.stale:
             self.heard[source] = position
             return False
         if kind != "outdated":
@@ -359,5 +366,7 @@
             # Whether a change can be made from here: a leader with a majority, or one that was heard lately.
             "majority": not self.outdated and (role is LEADER or (
                 role is FOLLOWER and self.leader != NOBODY and now - self.election.heard_at < self.times.election)),
-            "peers": {k: {"match": p.match, "heard_ms": round(now - p.heard_at)} for k, p in self.peers.items()},
+            "peers": [
+                {"process": k, "match": p.match, "heard_ms": round(now - p.heard_at)} for k, p in self.peers.items()
+            ],
         }  # fmt: skip
--- a/rushweir/rollout/control_messages.py
+++ b/rushweir/rollout/control_messages.py
@@ -123,6 +123,7 @@
 
 
 HANDLERS = {
+    "here": Handler((), lambda c, source, term, rest: None),  # for its position alone
     "pre": Handler((whole, whole, whole), _pre),
     "pre_answer": Handler((whole, truth), _pre_answer),
     "vote": Handler((whole, whole), _vote),
