--- a/rushweir/ingress/websocket.py
+++ b/rushweir/ingress/websocket.py
@@ -2,18 +2,32 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from collections.abc import Collection, Iterable
+from dataclasses import dataclass, field, replace
+from zlib import crc32
 
+from rushweir import interface as i
+from rushweir.budgets.core import Budgets
+from rushweir.budgets.records import NOTHING, Whole, key_of
 from rushweir.counter.client import CounterClient
 from rushweir.discovery.pushed import PushedList
 from rushweir.fronts.credentials import Credentials
 from rushweir.fronts.websocket import ClientConnection, FrontSettings
 from rushweir.ingress import core as base
+from rushweir.ingress.clients import Client
 from rushweir.ingress.membership import Membership
 from rushweir.nodes.pool import Pool, PoolSettings
 from rushweir.peers.datagram import Peers
 
 
+def let_go(budgets: Budgets, name: str) -> None:
+    """Spend nothing more of what was lent of a budget: its doors are others, and so is the home that counts it. What
+    is on its way is not taken either; where it was lent it counts until it is surely over."""
+    key = key_of(name)
+    if (held := budgets.held.get(key)) is not None:
+        budgets.held[key] = replace(held, whole=Whole(0, 0), lease=NOTHING, asked={}, told=NOTHING)
+
+
 @dataclass(frozen=True, slots=True)
 class Setup(base.Setup):
     front: FrontSettings = field(default_factory=FrontSettings)
@@ -45,18 +59,64 @@
     def adopt(self, core: base.Core) -> None:
         """Connections stay, those of a partner that is gone until their open requests are answered."""
         core.pool.settings = self.pool
-        partners = {p.name: p for p in self.credentials.by_digest.values()}
         for client in list(core.clients.open.values()):
-            front = client.front
-            front.settings = self.front
-            if front.partner is not None:
-                new = partners.get(front.partner.name)
-                if new is not None:
-                    front.partner = new
-                else:
-                    core.counts["partners_gone"] += 1
-                    front.refuse_new("partner_gone")
-                    core.clients.leave_if_idle(client)
-
-    def partners(self) -> list[tuple[str, str]]:
-        return [(p.name, p.plan) for p in self.credentials.by_digest.values()]
+            client.front.settings = self.front
+            if client.front.partner is not None:
+                self._look(core, client)
+
+    def touch(self, core: base.Core, now: float, names: Collection[str]) -> None:
+        """These partners changed, or are no more, and nothing else did."""
+        core._at(now)
+        for client in list(core.clients.open.values()):
+            if client.front.partner is not None and client.front.partner.name in names:
+                self._look(core, client)
+        core._run()
+
+    def moved(self, core: base.Core, now: float, names: Iterable[str]) -> None:
+        """These partners have other plans or doors. The policy has a customer's doors from its first request until it
+        is idle, which a busy one never is; and between the two nothing must fill by the one of each."""
+        quota = getattr(core.engine.policy, "quota", None)
+        for name in names if quota is not None else ():
+            c, partner = quota.customers.get(crc32(name.encode())), self.credentials.named(name)
+            if c is None or partner is None:
+                continue
+            quota.move(c, partner.plan, now)
+            if c.through != (partner.first, partner.spread):
+                quota.refill(c, now)
+                if core.fleet is not None:
+                    let_go(core.fleet.budgets, name)
+                    core.engine.part(now, i.Part(name, 0.0, 0.0))  # until the next request says what it has now
+                c.through = partner.first, partner.spread
+                c.doors, c.ranks = quota.around(c.hash, *c.through)
+                quota.refill(c, now)  # no more than the new part's burst
+
+    def renew(self, core: base.Core, now: float) -> None:
+        """As ``Core.reload`` does it, but the nodes are gone through only where their networks changed: each of
+        thousands would be told to the policy again for a plan."""
+        if self.node_networks is not core.setup.node_networks:
+            core.reload(now, self)
+            return
+        core._at(now)
+        core.setup = self
+        settings = self.settings if core.fleet is None else core.fleet.among(self.settings)
+        core.engine.adopt(now, settings, self.margin_ms)
+        core.overload.adopt(self.late_ms, self.most_late_ms)
+        core._value_classes()
+        core.watch.usage.know(self.partners())
+        core.watch.know_classes({k.name: k.aim_ms for k in self.settings.classes})
+        core.watch.courses.adopt(self.sample, self.courses)
+        self.adopt(core)
+        core._run()
+
+    def _look(self, core: base.Core, client: Client) -> None:
+        front = client.front
+        new = self.credentials.named(front.partner.name)
+        if new is not None:
+            front.partner = new
+        else:
+            core.counts["partners_gone"] += 1
+            front.refuse_new("partner_gone")
+            core.clients.leave_if_idle(client)
+
+    def partners(self) -> Iterable[tuple[str, str]]:
+        return self.credentials
