--- a/rushweir/cli/main.py
+++ b/rushweir/cli/main.py
@@ -9,7 +9,7 @@
 import click
 import orjson
 
-from rushweir.cli import operators
+from rushweir.cli import change, operators
 from rushweir.cli.capacity import capacity
 from rushweir.cli.changes import tell_changes
 from rushweir.cli.scale import lab_scale
@@ -22,6 +22,7 @@
 
 
 operators.add_to(main)
+change.add_to(main)
 
 
 @main.command("console-user")
