--- a/rushweir/lab/scale/fleet.py
+++ b/rushweir/lab/scale/fleet.py
@@ -58,7 +58,7 @@
         self.states: dict[int, dict[str, Any]] = {}
         self.listens: dict[int, str] = {}
         self.moved = asyncio.Event()
-        self.trouble = ""
+        self.trouble, self.watching = "", 0
 
     async def up(self) -> None:
         """Start all processes; the ingresses are not yet told to begin."""
@@ -73,7 +73,8 @@
             servers = nodes.ready
         else:
             servers = [f"{HOST}:{20_000 + k}" for k in range(s.backends)]  # nobody goes there
-        self.list = await start("listing", {"servers": servers, "zones": ZONES, "plants": self.plants})
+        first = {"servers": servers, "zones": ZONES, "plants": self.plants}
+        self.list = await start("listing", first, self._news(-1))
         self.list_url = f"ws://{HOST}:{self.list.ready}/list"
         self.seeds = [(HOST, free_port(SOCK_DGRAM)) for _ in range(s.seeds)]
         self.real_at = [(HOST, free_port(SOCK_DGRAM)) for _ in range(s.real)]
@@ -92,6 +93,8 @@
         def news(told: dict[str, Any]) -> None:
             if "failed" in told:
                 self.trouble = told["failed"]
+            elif "watchers" in told:
+                self.watching = told["watchers"]
             elif "listens" in told:
                 self.listens[told["place"]] = told["listens"]
             else:
@@ -143,6 +146,7 @@
             len(states) == len(self.hollow) and sum(x["open"] for x in states) == self.scene.hollow
             and all(x["seats"] == self.scene.members for x in states)
             and len({v for x in states for v in x["views"]}) == 1 and len(self.listens) == self.scene.real
+            and self.watching == self.scene.members
         )  # fmt: skip
 
     async def drive(self, per_s: float) -> None:
--- a/rushweir/lab/scale/hollow.py
+++ b/rushweir/lab/scale/hollow.py
@@ -101,17 +101,25 @@
 
     def buffer_updated(self, count: int) -> None:
         began = thread_time()
+        shell = self.shell
         super().buffer_updated(count)
-        self.shell.account.turn(LIST, thread_time() - began)
-        self.shell.account.get(LIST, count)
+        shell.account.turn(LIST, thread_time() - began)
+        shell.account.get(LIST, count)
+        if not shell.listed and shell.core.nodes.listed:
+            shell.listed = True
+            shell.moved()
 
 
 class HollowShell(Shell):
     """Runs one core with a datagram socket and the link to its list; no client connects."""
 
-    def __init__(self, core: Core, clock: Callable[[], float], account: Account, udp: Counted, **more: Any) -> None:
+    def __init__(
+        self, core: Core, clock: Callable[[], float], account: Account, udp: Counted, moved: Callable[[], None],
+        **more: Any,
+    ) -> None:  # fmt: skip
+        """``moved`` is called when it has the list."""
         super().__init__(core, clock, **more)
-        self.account, self.udp = account, udp
+        self.account, self.udp, self.moved, self.listed = account, udp, moved, False
         fleet, advance = core.fleet.fleet, core.fleet.fleet.advance
 
         def timed(now: float) -> None:
@@ -196,8 +204,9 @@
         now = self.clock()
         core = Core(setup, Timed(Policy(setup.settings, self.seed, now), self.account), now)
         self.shell = HollowShell(
-            core, self.clock, self.account, self.udp, folder=self.config.state, end=self._end, remark=self._remark
-        )
+            core, self.clock, self.account, self.udp, self.moved, folder=self.config.state, end=self._end,
+            remark=self._remark,
+        )  # fmt: skip
         self.shell.open()
         self.partners = list(setup.credentials.by_digest.values())
         self.requests = Requests(self.rng, self.scene.tenants_at(number, self.tail), self.scene.route_table())
@@ -238,7 +247,8 @@
     def state(self) -> dict[str, Any]:
         view = self.fleet.view
         seated = sum(s.state == SEATED for s in view.seats.values())
-        return {"open": self.shell is not None, "view": view.number, "seats": seated, "at": self.view_at}
+        ready = self.shell is not None and self.shell.listed
+        return {"open": ready, "view": view.number, "seats": seated, "at": self.view_at}
 
     def dump(self) -> dict[str, Any]:
         """All its sums so far, and what it is now."""
--- a/rushweir/lab/scale/nodes.py
+++ b/rushweir/lab/scale/nodes.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 from collections import Counter
+from collections.abc import Callable
 from typing import Any
 
 from rushweir import interface as i
@@ -50,17 +51,27 @@
 class Listing(NodeList):
     """The list: entries that nobody looks into, changed at a pace. What it sends is counted."""
 
-    def __init__(self, addresses: list[str], zones: list[str]) -> None:
+    def __init__(self, addresses: list[str], zones: list[str], told: Callable[[int], None]) -> None:
+        """``told``: called with the number of those that watch, when it changed."""
         super().__init__(Silent(), 0.0)  # type: ignore[arg-type]
+        self.told_watchers = told
         for k, address in enumerate(addresses):
             self.servers[address] = i.Server(address, zones[k % len(zones)])
         self.sent = Counter[str]()
-        self.changes = 0
+        self.changes = self.due = 0  # and how often they have to be told
 
     def _tell(self, peer: Peer, params: dict[str, Any], states: dict[str, str]) -> None:
         self.sent[params["scope"]] += 1
         super()._tell(peer, params, states)
 
+    def call(self, peer: Peer, call: rpc.Call) -> None:
+        super().call(peer, call)
+        self.told_watchers(len(self.watchers))
+
+    def lost(self, peer: Peer) -> None:
+        super().lost(peer)
+        self.told_watchers(len(self.watchers))
+
     async def change(self, per_s: float) -> None:
         """One node after the other is drained, and ready again with the next change."""
         nodes, k = list(self.servers), 0
@@ -68,7 +79,7 @@
             await asyncio.sleep(1 / per_s)
             address = nodes[k // 2 % len(nodes)]
             self.set(address, "draining" if k % 2 == 0 else "ready")
-            self.changes += 1
+            self._count()
             k += 1
 
     def zone(self, zone: str, state: str) -> None:
@@ -76,10 +87,14 @@
         for address, server in list(self.servers.items()):
             if server.zone == zone:
                 self.set(address, state)
-                self.changes += 1
+                self._count()
+
+    def _count(self) -> None:
+        self.changes += 1
+        self.due += len(self.watchers)
 
     def figures(self) -> dict[str, Any]:
-        return {"watchers": len(self.watchers), "changes": self.changes, "told": dict(self.sent)}
+        return {"watchers": len(self.watchers), "changes": self.changes, "due": self.due, "told": dict(self.sent)}
 
 
 class Crowd:
@@ -119,7 +134,10 @@
             client = await self._client(k, name)
             reply = await client.ask(cls, {"units": units, "data": {"work": 1}})
             self.counts[kind(reply)] += 1
-        except (OSError, Refused, TimeoutError) as problem:
+        except Refused:  # the ingress sheds connections for its own load
+            self.counts["turned_away"] += 1
+            self.open.pop((k, name), None)
+        except (OSError, TimeoutError, asyncio.CancelledError) as problem:
             self.counts[f"lost {type(problem).__name__}"] += 1
             self.open.pop((k, name), None)
 
--- a/rushweir/lab/scale/worker.py
+++ b/rushweir/lab/scale/worker.py
@@ -166,7 +166,7 @@
     """The list. Commands: change (so many a second from now on), zone (a part of the list at once), read."""
     from rushweir.lab.scale.nodes import Listing
 
-    source = Listing(first["servers"], first["zones"])
+    source = Listing(first["servers"], first["zones"], lambda count: say(watchers=count))
     say(ready=await source.listen())
     changing = None
     async for command in lines():
--- /dev/null
+++ b/tests/lab/scale/test_events.py
@@ -0,0 +1,43 @@
+"""Events on virtual clocks: all is as before afterwards, what is away does not serve, and equal seeds are equal."""
+
+from __future__ import annotations
+
+import pytest
+
+from rushweir.lab.scale import events
+
+
+def figures(event: str, size: int) -> dict[str, float]:
+    return {name: value for name, _, value, _ in events.play(event, size, 1)}
+
+
+@pytest.mark.parametrize(
+    ("event", "size", "left"),
+    # Of a split the half with two of the three seeds goes on; the others' numbers are over after a while.
+    [("zone", 12, 10), ("rack", 9, 3), ("roll-fast", 6, 5), ("split", 6, 3)],
+)
+def test_all_is_as_before_after_an_event(event, size, left):
+    found = figures(event, size)
+    assert found["back_in_time"] == 1.0
+    assert found["working_least"] <= left / size
+    if event != "roll-fast":  # one after the other: the next may go before the one before it is back
+        assert found["working_least"] == pytest.approx(left / size)
+    assert found["working_mean"] < 1.0
+    assert 0 < found["served_meanwhile"] < found["served_calm"] <= 1.0
+    assert found["sent_calm"] > 0
+
+
+def test_equal_seeds_give_equal_figures():
+    assert events.play("zone", 6, 3) == events.play("zone", 6, 3)
+
+
+def test_a_fleet_whose_members_never_come_back_is_not_as_before(monkeypatch):
+    def lost(play: events.Play) -> float:
+        play.world.kill(play.fleet.place(5))
+        return 1_000.0
+
+    monkeypatch.setattr(events, "LONGEST_MS", 8_000.0)
+    monkeypatch.setitem(events.EVENTS, "lost", (lost, {}))
+    found = figures("lost", 6)
+    assert found["back_in_time"] == 0.0 and found["back"] == 8.0
+    assert found["working_least"] == pytest.approx(5 / 6)
