--- a/tests/lab/test_pure.py
+++ b/tests/lab/test_pure.py
@@ -129,6 +129,18 @@
     fails(check)
 
 
+def test_the_role_of_mail_tells_what_is_wanted_and_what_is_sent(monkeypatch: pytest.MonkeyPatch):
+    monkeypatch.setattr(pure_mail, "WARM_MS", 300.0)
+    monkeypatch.setattr(pure_mail, "COUNT_MS", 500.0)
+    found = told("quota_mail", (6, 12))
+    for size in (6, 12):
+        assert 59 <= found["sent_datagrams"][size] <= 62 < found["wanted_datagrams"][size]
+        assert found["wanted_by_even_part_share"][size] == 0 < found["sent_by_even_part_share"][size] < 1
+        # A datagram has heads, stamp, tag and an entry at least, and no more than what fits into one.
+        for way in ("sent", "wanted"):
+            assert 28 + 28 + 13 <= found[f"{way}_bytes"][size] / found[f"{way}_datagrams"][size] <= 28 + 256
+
+
 def test_mail_is_the_same_each_time_and_another_with_another_seed():
     one, same, other = fleet(6, 60.0), fleet(6, 60.0), fleet(6, 60.0, seed=4)
     assert (one.messages, one.bytes, one.requests) == (same.messages, same.bytes, same.requests)
