--- /dev/null
+++ b/rushweir/lab/sim/rollout_plants.py
@@ -0,0 +1,95 @@
+"""Faults planted in how settings get to ingresses, each of which the days must find. Nothing of this is reachable
+from the program.
+
+``bulky``: a step carries the whole. ``hasty``: a step is applied ahead of its predecessor. ``unjittered``: those of a
+control process that went move on at once. ``forgotten``: what was dropped leaves no tombstone. ``unchecked``: a
+digest that does not fit is taken for good. ``early``: an ingress says that it acts on what is not on its disk yet.
+``alone``: a control process takes its own ingresses for all there are.
+"""
+
+from __future__ import annotations
+
+import random
+from typing import Any
+
+from rushweir.rollout import watch_mail as mail
+from rushweir.rollout.sending import Sending
+from rushweir.rollout.steps import Step, pack, unpack
+from rushweir.rollout.watching import Watching
+from rushweir.rollout.watching_ahead import Ahead, Delta
+
+KINDS = ("bulky", "hasty", "unjittered", "forgotten", "unchecked", "early", "alone")
+
+
+class Bulky(Sending):
+    def _step(self, step: Step, digest: bytes) -> bytes:
+        objects = [row for part in self.book.parts for row in part.items()]
+        return mail.write("rollout.step", {"step": pack(step), "digest": digest, "objects": objects}, self.key)
+
+
+class Forgotten(Sending):
+    def committed(self, now: float, step: Step) -> None:
+        super().committed(now, step)
+        self.book.gone.clear()
+
+
+class Alone(Sending):
+    def take_report(self, now: float, told: Any) -> None:
+        pass
+
+
+class Taken(Ahead):
+    def take(self, delta: Delta, version: int, digest: bytes) -> bool:
+        if super().take(delta, version, digest):
+            return True
+        self.rows.update(delta.rows)
+        self.version = version
+        return True
+
+
+class Hasty(Watching):
+    def _step(self, fields: dict[str, Any]) -> None:
+        step = unpack(fields["step"])
+        if step.number <= self.ahead.version + 1:
+            super()._step(fields)
+            return
+        self.ahead.__class__ = Taken
+        self.ahead.step(step, fields["digest"])
+        self.ahead.__class__ = Ahead
+        self._newer()
+
+
+class Unchecked(Watching):
+    def __init__(self, *given: Any) -> None:
+        super().__init__(*given)
+        self.ahead = Taken(self.book)
+
+
+class Early(Watching):
+    def _acts(self) -> int:
+        return self.version
+
+
+class Still(random.Random):
+    def uniform(self, a: float, b: float) -> float:
+        return a
+
+
+class Unjittered(Watching):
+    def __init__(self, *given: Any) -> None:
+        super().__init__(*given)
+        self.links.rng = Still(0)
+
+
+SENDING = {"bulky": Bulky, "forgotten": Forgotten, "alone": Alone}
+WATCHING = {"hasty": Hasty, "unjittered": Unjittered, "unchecked": Unchecked, "early": Early}
+
+
+def plant(kind: str) -> Any:
+    """For a day."""
+
+    def into(world: Any) -> None:
+        world.sending = SENDING.get(kind, Sending)
+        world.watching = WATCHING.get(kind, Watching)
+
+    return into
--- a/rushweir/rollout/kept.py
+++ b/rushweir/rollout/kept.py
@@ -51,7 +51,8 @@
     def add(self, base: int, rows: list[Row]) -> list[Append | Rewrite]:
         """The book went from ``base`` to its version by these rows."""
         size = sum(len(text) + len(held or b"") + 16 for text, held in rows)
-        if not self.book_bytes or size > MOST_APPEND or self.log_bytes > max(LOG_FROM, self.book_bytes // 2):
+        long = size > MOST_APPEND or self.log_bytes > max(LOG_FROM, self.book_bytes // 2)
+        if long or not self.book_bytes or base == self.book.version:  # the last: objects that were mended
             return [self.whole()]
         data = record(["rows", base, self.book.version, rows, self.book.digest()])
         self.log_bytes += len(data)
--- a/rushweir/rollout/sending.py
+++ b/rushweir/rollout/sending.py
@@ -26,7 +26,7 @@
 from typing import Any
 
 from rushweir.rollout import watch_mail as mail
-from rushweir.rollout.book import DIGEST, PARTS, Book, BookError, Row
+from rushweir.rollout.book import DIGEST, PARTS, Book, BookError, Row, entry, packed
 from rushweir.rollout.sending_records import (
     ASKED,
     BEAT_MS,
@@ -53,7 +53,7 @@
     pieces,
 )  # fmt: skip
 from rushweir.rollout.sending_standing import EXPIRE_MS, Standing
-from rushweir.rollout.steps import Step, pack
+from rushweir.rollout.steps import Key, Step, pack
 
 
 class Sending:
@@ -86,7 +86,7 @@
         self._clock(now)
         self.book.take(step)
         digest = self.book.digest()
-        message = mail.write("rollout.step", {"step": pack(step), "digest": digest}, self.key)
+        message = self._step(step, digest)
         self.recent[step.number] = Recent(message, digest, self.passed)
         self.passed += len(message)
         self.recent_bytes += len(message)
@@ -97,6 +97,17 @@
                 self._line(s)
         self._pump()
 
+    def jumped(self, now: float, number: int, objects: dict[Key, tuple[int, bytes]]) -> None:
+        """All there is at a version: of a process that begins, or was so far behind that it took the whole."""
+        self._clock(now)
+        book = Book()
+        book.put([(packed(key), entry(version, data)) for key, (version, data) in objects.items()], number)
+        self.book, self.recent, self.recent_bytes = book, {}, 0
+        for s in self.sessions.values():
+            if s.state is STEPS:
+                self._line(s)
+        self._pump()
+
     def set_current(self, now: float, current: bool) -> None:
         """Whether a majority of the control processes hears this one."""
         self._clock(now)
@@ -182,7 +193,8 @@
             if now - s.heard_at > SILENT_MS:
                 self._drop(s, "silent")
                 continue
-            self._send(s, self._beat(waits=self._waits(s)))
+            # The nonce until it watches: its first beat may have been refused on the way.
+            self._send(s, self._beat(None if s.who else s.nonce, self._waits(s)))
             self.beats.append((now + BEAT_MS, conn))
         if now >= self.reported_at + REPORT_MS[0 if self.standing.changed else 1]:
             self.reported_at = now
@@ -354,6 +366,9 @@
         self.counts["bytes"] += len(message)
         self.orders.append(Send(s.conn, message))
 
+    def _step(self, step: Step, digest: bytes) -> bytes:
+        return mail.write("rollout.step", {"step": pack(step), "digest": digest}, self.key)
+
     def _waits(self, s: Session) -> bool:
         """Whether it is in a line here, so that it need not ask again."""
         return s.state in (HELD, QUEUED, LARGE) or s.conn in self.small or s.conn in self.large or not s.writable
--- a/rushweir/rollout/sending_records.py
+++ b/rushweir/rollout/sending_records.py
@@ -98,7 +98,7 @@
     base: int, version: int, digest: bytes, rows: list[Row], marks: dict[int, bytes], key: bytes
 ) -> Iterator[bytes]:
     """Messages with all rows and marks, made one by one as they go out; the rows' bytes never change meanwhile."""
-    at = 0
+    at = number = 0
     while True:
         piece, told, room = list[Row](), dict[int, bytes](), PIECE
         while at < len(rows) and room > 0:
@@ -110,7 +110,8 @@
             told[part] = named
             room -= len(named)
         more = at < len(rows) or bool(marks)
-        fields = {"base": base, "version": version, "rows": piece, "marks": told, "more": more}
+        fields = {"base": base, "version": version, "piece": number, "rows": piece, "marks": told, "more": more}
+        number += 1
         yield mail.write("rollout.mend", {**fields, "digest": b"" if more else digest}, key)
         if not more:
             return
--- a/rushweir/rollout/watch_mail.py
+++ b/rushweir/rollout/watch_mail.py
@@ -11,10 +11,11 @@
     rollout.beat   {head, least, current, waits, nonce}
                                                    its newest version; the least that all act on; whether a majority
                                                    hears it; whether what is to come stands in a line; the nonce
-                                                   comes with the first
+                                                   until it is watched
     rollout.step   {step, digest}                  one step as steps.py packs it, and the whole's digest after it
-    rollout.mend   {base, version, rows, marks, digest, more}
-                                                   what differs from ``base``, in pieces, the digest with the last
+    rollout.mend   {base, version, piece, rows, marks, digest, more}
+                                                   what differs from ``base``, in numbered pieces, the digest with
+                                                   the last
     rollout.ask    {}                              the digests of all parts are wanted
     from the one who watches
     rollout.watch  {who, nonce, version, digest, acts, repair}
--- a/rushweir/rollout/watching.py
+++ b/rushweir/rollout/watching.py
@@ -13,6 +13,7 @@
 
     applying      event                           then
     nothing       something newer is known        order Apply, once; all from the version that is acted on
+    nothing       objects of its version mended   the same
     a version     applied                         acts on it; order Keep, and told when it is on disk
     a version     refused                         stays; told, with object and field; applied anew with the next step
 
@@ -96,6 +97,7 @@
         self.refusal: Refusal | None = None  # of a version newer than the one that it acts on
         self.disk_why = ""
         self.mend: Delta | None = None
+        self.pieces = 0  # of it that came
         self.repairing = False
         self.bad = 0
         self.retry = RETRY_MS[0]
@@ -128,7 +130,8 @@
         self.now = now
         main = self.links.main
         if main is not None and main.conn == conn:
-            self.mend, self.ask_at = None, float("inf")
+            self._forget_pieces()
+            self.ask_at = float("inf")
         self.links.lost(now, conn)
 
     def received(self, now: float, conn: int, text: bytes | str) -> None:
@@ -243,12 +246,16 @@
         rows, digest = fields.get("rows"), mail.octets(fields, "digest", DIGEST)
         if not isinstance(rows, list):
             raise mail.MailError("rows: an array")
-        if base != self.ahead.version or version < base:
-            self.mend = None
+        piece = mail.whole(fields, "piece")
+        if base != self.ahead.version or version < base or piece > self.pieces:
+            self._forget_pieces()
             self._ask_again()
             return
+        if piece < self.pieces and piece:
+            return  # twice
         self.progress_at = self.now
-        delta = self.mend = self.mend or Delta(self.ahead)
+        delta = self.mend = self.mend if self.mend is not None and piece else Delta(self.ahead)
+        self.pieces = piece + 1
         try:
             for row in rows:
                 text, held = row
@@ -257,17 +264,20 @@
             for part, marks in of_marks(fields.get("marks")):
                 delta.leave(part, marks)
         except (TypeError, ValueError) as problem:
-            self.mend = None
+            self._forget_pieces()
             raise BookError(f"what differs: {problem}") from None
         if fields.get("more") is True:
             return
-        self.mend = None
+        self._forget_pieces()
         if self.ahead.take(delta, version, digest):
             self.counts["mended"] += 1
             self._newer()
         else:
             self._repair()
 
+    def _forget_pieces(self) -> None:
+        self.mend, self.pieces = None, 0
+
     def _newer(self) -> None:
         self.progress_at, self.retry, self.ask_at = self.now, RETRY_MS[0], float("inf")
         self.repairing = False
@@ -290,14 +300,14 @@
             self.orders.append(Disconnect(conn))
             self.lost(self.now, conn)
         elif self._watching() and self.links.main is not None and self.links.main.conn == conn:
-            self.mend = None
+            self._forget_pieces()
             self._ask_again()
 
     # --- what it says ----------------------------------------------------------------------------
 
     def adopted(self) -> None:
         """A control process to watch, from its start."""
-        self.mend, self.head = None, self.links.main.head if self.links.main is not None else 0
+        self.head = self.links.main.head if self.links.main is not None else 0
         self._watch()
         self._say_refused()
 
@@ -312,7 +322,8 @@
 
     def _watch(self) -> None:
         assert self.links.main is not None
-        self.ask_at, self.progress_at, self.mend = float("inf"), self.now, None
+        self.ask_at, self.progress_at = float("inf"), self.now
+        self._forget_pieces()
         self.told, self.acts_at = self._acts(), self.now + ACTS_MS[1]
         fields = {"who": self.name, "nonce": self.links.main.nonce, "digest": self.ahead.digest()}
         self.counts["watches"] += 1
@@ -349,7 +360,7 @@
         self.orders.append(Send(self.links.main.conn, mail.write(method, fields, self.key)))
 
     def _apply(self) -> None:
-        if self.ahead.applying is None and self.ahead.version > self.version:
+        if self.ahead.applying is None and (self.ahead.version > self.version or self.ahead.rows):
             if self.refusal is not None and self.refusal.version == self.ahead.version:
                 return
             version = self.ahead.version
--- a/tests/rollout/test_watching.py
+++ b/tests/rollout/test_watching.py
@@ -100,15 +100,18 @@
     assert (i.core.ahead.rows, i.core.repairing) == ({}, True)
 
 
+PIECE = {"base": 0, "version": 1, "piece": 0, "more": True, "digest": b""}
+
+
 @pytest.mark.parametrize(
     ("method", "fields"),
     [
         ("rollout.step", {"step": b"x", "digest": b""}),
         ("rollout.step", {"digest": b""}),
-        ("rollout.mend", {"base": 0, "version": 1, "rows": [["", b"1"]], "marks": {}, "more": True, "digest": b""}),
-        ("rollout.mend", {"base": 0, "version": 1, "rows": [7], "marks": {}, "more": True, "digest": b""}),
-        ("rollout.mend", {"base": 0, "version": 1, "rows": [], "marks": {999: b""}, "more": True, "digest": b""}),
-        ("rollout.mend", {"base": 0, "version": 1, "rows": 7, "marks": {}, "more": True, "digest": b""}),
+        ("rollout.mend", {**PIECE, "rows": [["", b"1"]], "marks": {}}),
+        ("rollout.mend", {**PIECE, "rows": [7], "marks": {}}),
+        ("rollout.mend", {**PIECE, "rows": [], "marks": {999: b""}}),
+        ("rollout.mend", {**PIECE, "rows": 7, "marks": {}}),
         ("rollout.beat", {"head": -1, "least": 0}),
     ],
 )
@@ -303,3 +306,29 @@
     scene.run(60_000)
     assert (c.counts["bytes"] - before) / 60 < 200  # of 4 KB a second
     assert (i.core.counts["watches"], at) == (watched, scene.now - 60_000)
+
+
+def test_pieces_twice_are_taken_once_and_one_too_early_begins_anew(scene: Scene) -> None:
+    c = scene.control("c")
+    scene.commit(*((f"p{n}", random.Random(n).randbytes(200)) for n in range(1_000)))
+    pieces: list[bytes] = []
+
+    def collect(data: bytes) -> bytes | None:
+        pieces.append(data) if b"rollout.mend" in data else None
+        return None if b"rollout.mend" in data else data
+
+    scene.changed = collect
+    i = scene.ingress()
+    scene.run(1)
+    assert len(pieces) > 4
+    for data in (pieces[0], pieces[1], pieces[1], pieces[0]):
+        i.core.received(scene.now, 1, data)
+    assert i.core.pieces == 1  # the first one begins anew
+    for data in [pieces[1], pieces[1], *pieces[2:]]:
+        i.core.received(scene.now, 1, data)
+    assert i.core.ahead.digest() == c.book.digest()
+    late = scene.ingress("late")
+    scene.run(1)
+    late.core.received(scene.now, 1, pieces[0])
+    late.core.received(scene.now, 1, pieces[2])
+    assert (late.core.mend, late.core.ahead.version) == (None, 0)
