--- a/rushweir/config/objects.py
+++ b/rushweir/config/objects.py
@@ -17,7 +17,7 @@
 from rushweir.config.load import Config
 from rushweir.config.reading import NAMED, block, problem_of, stands
 from rushweir.config.show import quoted
-from rushweir.config.text import ConfigError, Problem, Spot, parse
+from rushweir.config.text import ConfigError, Problem, Spot, parse, plain
 from rushweir.config.values import words
 from rushweir.rollout.steps import MOST_OBJECT, Change, Key
 
@@ -112,7 +112,9 @@
     try:
         if name:
             _NAME.validate_python(name)
-        directives = parse(data.decode(), "")
+        text = data.decode()
+        if (directives := plain(text, "")) is None:
+            directives = parse(text, "")
     except (UnicodeDecodeError, ValidationError):
         raise Refused([(key, "", "not the text of settings, or no name")]) from None
     except ConfigError as bad:
@@ -133,6 +135,16 @@
     return found
 
 
+def data_of(config: Config, key: Key) -> bytes | None:
+    """The bytes of one object; None: there is none. Made when asked, so that nobody need keep them."""
+    kind, name = key
+    if kind in NAMED:
+        found = getattr(config.file, NAMED[kind]).get(name)
+        return None if found is None else encode(found)
+    found = getattr(config.file, kind) if kind in SINGLE and not name else None
+    return (encode(found) or None) if found is not None else None
+
+
 def objects(config: Config) -> Iterator[tuple[Key, bytes]]:
     """All objects of some settings; singletons that only have defaults are none."""
     for kind, group in NAMED.items():
--- a/rushweir/config/reader.py
+++ b/rushweir/config/reader.py
@@ -6,8 +6,8 @@
 from glob import has_magic
 from pathlib import Path
 
-from rushweir.config.split import Raw, split
-from rushweir.config.text import MOST_BYTES, ConfigError, Directive, Problem, Spot, parse
+from rushweir.config.split import HEAD, Raw, split
+from rushweir.config.text import MOST_BYTES, ConfigError, Directive, Problem, Spot, Value, parse, plain
 
 Item = Directive | tuple[str, Raw]
 
@@ -20,6 +20,11 @@
     if isinstance(item, Directive):
         return item
     name, raw = item
+    head, _, body = raw.text.partition("\n")
+    inner = plain(body[: body.rfind("}")].rstrip(" \t"), name, raw.line + 1)
+    if inner is not None and (m := HEAD.fullmatch(head)):
+        spot = Spot(name, raw.line, m.start(1) + 1)
+        return Directive(raw.kind, [Value(raw.name, Spot(name, raw.line, m.start(2) + 1))], spot, inner)
     (found,) = parse(raw.text, name, raw.line)  # has a good form, as split.py found it
     return found
 
--- a/rushweir/config/split.py
+++ b/rushweir/config/split.py
@@ -22,6 +22,7 @@
 BLOCK = re.compile(
     rf"^[ \t]*+({'|'.join(KINDS)})[ \t]++({_WORD}|{_TEXT})[ \t]*+\{{{_END}((?:{_FLAT})*+){_CLOSE}", re.M
 )  # possessive throughout: no text makes it look twice
+HEAD = re.compile(rf"[ \t]*+({'|'.join(KINDS)})[ \t]++({_WORD}|{_TEXT})[ \t]*+\{{[ \t]*+")  # a block's first line
 FLAT, OPEN, CLOSE = re.compile(_FLAT), re.compile(rf"(?:[ \t]++|{_WORD}|{_TEXT})*+\{{{_END}"), re.compile(_CLOSE)
 NAMELESS = re.compile(r"[ \t]*+[\"{]")  # a line that begins with a value, not with a directive's name
 # Such a line, or one that includes another file; a block with the first has no good form, with the second no own end.
--- a/rushweir/config/text.py
+++ b/rushweir/config/text.py
@@ -11,6 +11,7 @@
 
 from __future__ import annotations
 
+import re
 from dataclasses import dataclass, field
 
 from lark import Lark, Token, Tree
@@ -104,6 +105,22 @@
     return found
 
 
+_WORD = re.compile(r'[^\s{}#"\x00-\x1f\x7f]+')
+_PLAIN = re.compile(r'(?:[ \t]*+(?:[^\s{}#"\x00-\x1f\x7f]++[ \t]*+)*+\n)*+')
+
+
+def plain(text: str, file: str, line: int = 1) -> list[Directive] | None:
+    """What ``parse`` makes of lines of words alone, without braces, quotes and comments; None: not of that form."""
+    if not _PLAIN.fullmatch(text):
+        return None
+    found = []
+    for k, one in enumerate(text.split("\n"), line):
+        words = [Value(w[0], Spot(file, k, w.start() + 1)) for w in _WORD.finditer(one)]
+        if words:
+            found.append(Directive(words[0].text, words[1:], words[0].spot))
+    return found
+
+
 def _explain(problem: UnexpectedInput) -> str:
     if isinstance(problem, UnexpectedCharacters):
         return "a text that is not closed, or a character that has no place here"
--- a/tests/rollout/test_objects.py
+++ b/tests/rollout/test_objects.py
@@ -13,7 +13,7 @@
 from rushweir.config import ConfigError, live, load_text, reader, reading
 from rushweir.config import models as m
 from rushweir.config.load import checked, effective_of
-from rushweir.config.objects import Refused, decode, difference, encode, objects
+from rushweir.config.objects import Refused, data_of, decode, difference, encode, objects
 from rushweir.config.reading import Reading, block, problem_of
 from rushweir.config.split import split
 from rushweir.config.text import Problem, Spot, parse
@@ -272,7 +272,10 @@
     found = dict(objects(config))
     assert found["partner", "d"] == f"plan gold\ncredential sha256:{D[4]}\nthrough 1 2\n".encode()
     assert found["plan", "tin foil"] == b"" and ("ingress", "") not in found and ("list", "") not in found
+    for key in (("partner", "x"), ("zone", ""), ("trace", "y")):
+        assert data_of(config, key) is None
     for (kind, name), data in found.items():
+        assert data_of(config, (kind, name)) == data
         made = decode((kind, name), data)
         assert encode(made) == data
         held = getattr(config.file, reading.NAMED[kind])[name] if name else getattr(config.file, kind)
