--- a/rushweir/lab/scale/registry.py
+++ b/rushweir/lab/scale/registry.py
@@ -12,11 +12,19 @@
 MODULES = (
     "roles",
     "path",
+    "burst",
     "event_roles",
 )  # fmt: skip
 # Measured by calls in one process. Until all of these are there, one that is absent is left out.
 PURE = (
     "pure_policy",
+    "pure_mail",
+    "pure_list",
+    "pure_pool",
+    "pure_costs",
+    "pure_counter",
+    "pure_watch",
+    "pure_settings",
 )  # fmt: skip
 
 
