Ingresses watch the control processes: a rollout block, kept settings, and who acts on what in change status

Off unless the settings have the block. rushweir serve then starts from its state folder with no control process, or waits for its first settings; a step is applied in a turn, refused whole with object and field, and appended to its log. A control process serves those who have its watch key.

--- a/rushweir/cli/change.py
+++ b/rushweir/cli/change.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import getpass
+import secrets
 import sys
 from base64 import b64decode, b64encode
 from collections.abc import Mapping
@@ -17,6 +18,7 @@
 from rushweir.link.text import printable
 from rushweir.rollout.steps import Change, Key
 
+MOST_BEHIND = 50  # lines about ingresses
 FETCHES = 5  # of all objects, where they change meanwhile
 SOCKET = click.option(
     "--socket", type=click.Path(path_type=Path), envvar="RUSHWEIR_CONTROL_SOCKET", required=True,
@@ -45,6 +47,8 @@
     from rushweir.logs.decisions import Limiter
     from rushweir.logs.log import Log
     from rushweir.logs.sink import Sink
+    from rushweir.rollout.book import Book
+    from rushweir.rollout.sending import Sending
     from rushweir.rollout.storage import StorageError
 
     try:
@@ -63,7 +67,10 @@
             return 1
         if files.torn:
             lines.event("warning", "torn_end_cut", path=str(files.path), at=files.kept.good, bytes=files.torn)
-        process = ControlProcess(config, files, clock, lines.event)
+        sessions = None
+        if config.watch_key is not None:
+            sessions = Sending(clock(), Book(), config.watch_key, seed=secrets.randbits(63))
+        process = ControlProcess(config, files, clock, lines.event, sessions)
         try:
             return await process.run(lambda line: print(line, flush=True), lambda p: Operators(p).serve())
         except OSError as problem:
@@ -118,11 +125,23 @@
                 click.echo("its disk is an older copy than what it told: it takes part no more")
             elif not told["majority"]:
                 click.echo("no majority: it goes on with what it has, and takes no change")
+            _tell_ingresses(told.get("ingresses", ()), told.get("least", 0))
         return 0 if told["majority"] else 1
 
     sys.exit(_asking(socket, ask))
 
 
+def _tell_ingresses(rows: Any, least: int) -> None:
+    if not rows:
+        return
+    behind = [r for r in rows if r["behind"] or r["why"]]
+    click.echo(f"{len(rows)} ingresses, {len(rows) - len(behind)} act on the newest; all act on {least} or later")
+    for r in behind[:MOST_BEHIND]:
+        click.echo(printable(f"  {r['ingress']}: acts on {r['acts']}, {r['behind']} behind: {r['why']}"))
+    if len(behind) > MOST_BEHIND:
+        click.echo(f"  and {len(behind) - MOST_BEHIND} more")
+
+
 def _asking(socket: Path, what: Any) -> int:
     daemon = None
     try:
--- a/rushweir/cli/main.py
+++ b/rushweir/cli/main.py
@@ -67,7 +67,7 @@
     """Run one ingress with the settings in FILE, until SIGTERM. SIGHUP reads them again."""
     from rushweir.cli.serve import serve as run
 
-    sys.exit(run(file, _load(file), log or "", take_over))
+    sys.exit(run(file, _load(file, True), log or "", take_over))
 
 
 @main.group()
@@ -75,12 +75,13 @@
     """Settings: check them, show what holds and where it came from, compare two files."""
 
 
-def _load(file: Path):
-    """Settings from a file; errors go to standard error and end the program with 2."""
-    from rushweir.config import ConfigError, load  # here: grammar and models cost half a second to load
+def _load(file: Path, own: bool = False):
+    """Settings from a file; errors go to standard error and end the program with 2. ``own``: of a machine whose
+    shared settings stand with control processes these alone."""
+    from rushweir.config import ConfigError, load, rollout  # here: grammar and models cost half a second to load
 
     try:
-        return load(file)
+        return (rollout.own(file) if own else None) or load(file)
     except ConfigError as problem:
         click.echo(str(problem), err=True)
         sys.exit(2)
--- a/rushweir/cli/serve.py
+++ b/rushweir/cli/serve.py
@@ -8,17 +8,21 @@
 
 import click
 
-from rushweir.config import Config
+from rushweir.config import Config, ConfigError
 from rushweir.daemon.handover import HandoverError, take_over
 from rushweir.daemon.lock import Held
 from rushweir.daemon.service import Service, make_log
 from rushweir.fleet.seating import KeptError
+from rushweir.ingress.shell import Clock
 
 
 def serve(path: Path, config: Config, form: str, take: bool) -> int:
     """Serve; the exit code: 0 all answered, 1 not, or no way to start. ``take``: from the daemon that runs."""
     inherited = None
     if take:
+        if config.file.rollout is not None:
+            click.echo("--take-over: not with settings from control processes; restart it instead", err=True)
+            return 1
         if config.file.control is None:
             click.echo("--take-over: the settings name no control socket", err=True)
             return 1
@@ -31,8 +35,14 @@
 
     async def run() -> int:
         try:
-            service = Service(path, config, log, inherited)
-        except (Held, KeptError, OSError) as problem:
+            rollouts, known = None, config
+            if config.file.rollout is not None:
+                from rushweir.daemon.rollouts import Rollouts
+
+                rollouts = Rollouts(path, config, Clock(), log)
+                known = await rollouts.begin()
+            service = Service(path, known, log, inherited, rollouts)
+        except (Held, KeptError, ConfigError, OSError) as problem:
             click.echo(str(problem), err=True)
             return 1
         return await service.run(lambda line: print(line, flush=True))
--- a/rushweir/config/control.py
+++ b/rushweir/config/control.py
@@ -6,9 +6,12 @@
     process 2 10.0.2.1:7400
     state /var/lib/rushweir-control
     key-file /etc/rushweir/control.key
+    watch-key-file /etc/rushweir/watch.key
     socket /run/rushweir/control.sock
 
-It listens on its own process's address. Every problem is told with file, line and column.
+Ingresses watch it with the key in ``watch-key-file``, which is not the one that control processes have among
+themselves; without it none may. It listens on its own process's address. Every problem is told with file, line and
+column.
 """
 
 from __future__ import annotations
@@ -37,6 +40,7 @@
     state: str = Field(min_length=1, max_length=1024)
     key_file: str = Field(min_length=1, max_length=1024)
     socket: str = Field(min_length=1, max_length=1024)
+    watch_key_file: str = Field(default="", max_length=1024)
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,6 +52,7 @@
     state: Path
     key: bytes
     socket: Path
+    watch_key: bytes | None = None  # of ingresses that watch; None: none may
 
     @property
     def count(self) -> int:
@@ -81,7 +86,10 @@
             raise ConfigError(self.problems, {str(path): text.splitlines()})
         addresses = tuple(file.process[k] for k in range(len(file.process)))
         base = path.parent
-        self.config = ControlConfig(file.control, addresses, base / file.state, key, base / file.socket)
+        watch = self._key("watch_key_file", base / file.watch_key_file) if file.watch_key_file else None
+        if self.problems:
+            raise ConfigError(self.problems, {str(path): text.splitlines()})
+        self.config = ControlConfig(file.control, addresses, base / file.state, key, base / file.socket, watch)
 
     def _directive(self, d: Directive, raw: dict) -> None:
         name = d.name.replace("-", "_")
@@ -115,17 +123,20 @@
             self._bad(self.spots["control",], f"control: {file.control} is no process; there are {numbers}")
         if len(set(file.process.values())) < len(numbers):
             self._bad(self.spots["process",], "process: two with one address")
-        spot, path = self.spots["key_file",], base / file.key_file
+        return self._key("key_file", base / file.key_file)
+
+    def _key(self, directive: str, path: Path) -> bytes:
+        spot, name = self.spots[directive,], directive.replace("_", "-")
         try:
             with open(path, "rb") as opened:
                 if os.fstat(opened.fileno()).st_mode & (stat.S_IRWXG | stat.S_IRWXO):
-                    self._bad(spot, f"key-file: {path} can be read by others; chmod 600 is needed")
+                    self._bad(spot, f"{name}: {path} can be read by others; chmod 600 is needed")
                 key = opened.read(MOST_KEY).strip()
         except OSError as problem:
-            self._bad(spot, f"key-file: {problem}")
+            self._bad(spot, f"{name}: {problem}")
             return b""
         if len(key) < LEAST_KEY:
-            self._bad(spot, f"key-file: {LEAST_KEY} bytes at least")
+            self._bad(spot, f"{name}: {LEAST_KEY} bytes at least")
         return key
 
     def _problem(self, e: dict) -> Problem:
--- a/rushweir/config/models.py
+++ b/rushweir/config/models.py
@@ -7,6 +7,7 @@
 
 from pydantic import BaseModel, ConfigDict, Field, model_validator
 
+from rushweir.config.rollout import RolloutBlock
 from rushweir.config.values import (
     Address,
     Amount,
@@ -284,6 +285,7 @@
     trace: TraceBlock = TraceBlock()
     control: ControlBlock | None = None
     console: ConsoleBlock | None = None
+    rollout: RolloutBlock | None = None
     overload: OverloadBlock = OverloadBlock()
     classes: dict[Name, ClassBlock]
     plans: dict[Name, PlanBlock]
--- a/rushweir/daemon/control_operators.py
+++ b/rushweir/daemon/control_operators.py
@@ -105,6 +105,8 @@
         p = self.process
         now = p.clock()
         told = p.core.status(now)
+        if p.sessions is not None and hasattr(p.sessions, "rows"):
+            told |= {"ingresses": p.sessions.rows(), "least": p.sessions.least()}
         return told | {
             "address": ":".join(map(str, p.config.addresses[p.config.me])), "linked": sorted(p.lines),
             "watchers": len(p.watchers), "counts": dict(p.core.counts),
--- a/rushweir/daemon/decisions.py
+++ b/rushweir/daemon/decisions.py
@@ -12,7 +12,7 @@
 # What a running process is bound to: its sockets, its place in the fleet, and who it counts with.
 BOUND = (
     "ingress", "zone", "listen", "path", "state", "list", "peers", "fleet", "budgets", "counter", "control",
-    "console", "meter", "settles",
+    "console", "meter", "settles", "rollout",
 )  # fmt: skip
 NEARLY_NOTHING = 1e-9  # a second: a ceiling of this rate is still a ceiling, and does not fill
 
--- a/rushweir/daemon/reloading.py
+++ b/rushweir/daemon/reloading.py
@@ -12,6 +12,7 @@
 from rushweir.config.objects import Refused
 from rushweir.daemon.decisions import needs_restart
 from rushweir.daemon.notify import notify, reloading
+from rushweir.rollout.ceilings import OVER_TERMS
 from rushweir.rollout.steps import Change
 
 SWITCH_S, RELOAD_SWITCH_S = sys.getswitchinterval(), 0.0005
@@ -25,6 +26,7 @@
     core: Any
     shell: Any
     clock: Any
+    ops: Any
 
     def _setup(self, config: Config) -> Any: ...
 
@@ -66,7 +68,7 @@
 
     def _read(self) -> live.Prepared:
         s = self.service
-        new, deltas = live.read(s.config, s.path)
+        new, deltas = (live.read_own if s.config.file.rollout else live.read)(s.config, s.path)
         if problems := needs_restart(s.config, new):
             raise ConfigError(problems)
         return live.prepare(s.config, new, deltas, s._setup, s.core.setup)
@@ -82,6 +84,19 @@
             s.taken(prepared.config, changes)
             s.shell.carry_out()
 
+    async def settle(self, version: int) -> None:
+        """All ingresses act on a version or on a later one: what was held down for those behind is not any more.
+        Where ceilings are lent, what was lent by an older one is over first."""
+        s = self.service
+        if s.config.file.fleet is not None:
+            await asyncio.sleep(OVER_TERMS * s.config.file.budgets.term / 1000)
+        async with self.lock:
+            new, deltas = live.settled(s.config, version)
+            if new.between != s.config.between:
+                live.apply(s.core, live.prepare(s.config, new, deltas, s._setup, s.core.setup, rows=False), s.clock())
+            s.config = s.ops.config = new
+            s.shell.carry_out()
+
     def _told(self, changes: Sequence[Change], version: int) -> live.Prepared:
         s = self.service
         new, deltas = live.told(s.config, changes, version)
--- a/rushweir/daemon/service.py
+++ b/rushweir/daemon/service.py
@@ -48,13 +48,18 @@
 class Service:
     """One ingress, from its settings to its end."""
 
-    def __init__(self, path: Path, config: Config, log: Log, inherited: Inherited | None = None) -> None:
-        """Takes the state folder's lock. Raises lock.Held, or OSError."""
+    def __init__(
+        self, path: Path, config: Config, log: Log, inherited: Inherited | None = None, rollouts: Any = None
+    ) -> None:
+        """Takes the state folder's lock, unless ``rollouts`` has it. Raises lock.Held, or OSError."""
         self.path, self.config, self.log, self.inherited = path, config, log, inherited
         self.clock = Clock()
         self.boot, self.seed = secrets.token_hex(4), secrets.randbits(63)
         self.lock: StateLock | None = None
-        if config.state is not None:
+        self.rollouts = rollouts  # where the shared settings come from, if not from the file
+        if rollouts is not None:
+            self.lock = rollouts.lock
+        elif config.state is not None:
             self.lock = StateLock(config.state, inherited.fds.get("lock") if inherited else None)
         self.member = member(config, secrets.randbits(63), self.clock())
         self.membership: Membership | None = None  # made once: a second would take the fleet's messages from it
@@ -77,6 +82,8 @@
         self.core = Core(setup, Policy(setup.settings, self.seed, now), now)
         self.core.watch.traced = Tracing().course
         self.ops = Operations(self.core, self.clock, config, self.facts)
+        if self.rollouts is not None:
+            self.rollouts.attach(self)
         peers = dict(config.file.peers.peer) if config.file.peers else {}
         self.shell = Shell(
             self.core, self.clock, peers=peers, folder=config.state, end=self._must_end, remark=self.log.remark
@@ -189,6 +196,8 @@
         answered = not ending.cancelled() and ending.result()
         if self.console is not None:
             await self.console.end()
+        if self.rollouts is not None:
+            await self.rollouts.stop()
         self._drop_control_file()
         for task in list(self.control_tasks):
             task.cancel()
--- a/tests/rollout/control_stage.py
+++ b/tests/rollout/control_stage.py
@@ -95,8 +95,9 @@
         self.readers: set[asyncio.Task] = set()
         self.relays: dict[tuple[int, int], Relay] = {}  # from who dials, to whom
 
-    async def up(self, *, keys: tuple[bytes, ...] = (b"k" * 32,) * COUNT) -> None:
-        ports = free_ports()
+    async def up(self, *, keys: tuple[bytes, ...] = (b"k" * 32,) * COUNT, more: str = "") -> None:
+        """``more``: lines of all their settings."""
+        ports = self.ports = free_ports()
         for a in range(COUNT):
             for b in range(a):
                 self.relays[a, b] = Relay(ports[b])
@@ -106,7 +107,7 @@
             (self.folder / f"{k}.key").chmod(0o600)
             where = {n: self.relays[k, n].port if n < k else ports[n] for n in range(COUNT)}
             text = "".join(f"process {n} 127.0.0.1:{port}\n" for n, port in where.items())
-            text += f"control {k}\nstate state-{k}\nkey-file {k}.key\nsocket {k}.sock\n"
+            text += f"control {k}\nstate state-{k}\nkey-file {k}.key\nsocket {k}.sock\n{more}"
             (self.folder / f"{k}.conf").write_text(text)
         await asyncio.gather(*(self.start(k, "--new") for k in range(COUNT)))
 
