A scale run looks at all its sizes before it starts any of them

A size that does not fit was refused when its turn came, after minutes of others whose samples were lost.

--- a/rushweir/lab/scale/registry.py
+++ b/rushweir/lab/scale/registry.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from importlib import import_module
 from importlib.util import find_spec
 
+from rushweir.lab.scale.bounds import Need
 from rushweir.lab.scale.samples import Role
 
 HERE = "rushweir.lab.scale"
@@ -28,6 +29,15 @@
 )  # fmt: skip
 
 
+def needs(wanted: list[tuple[str, int]]) -> Iterator[tuple[str, int, Need]]:
+    """What the roles take that say so beforehand. Raises DoesNotFit."""
+    modules = [import_module(f"{HERE}.{name}") for name in MODULES]
+    known = {role.name: m.need for m in modules if hasattr(m, "need") for role in m.ROLES}
+    for name, size in wanted:
+        if name in known:
+            yield name, size, known[name](name, size)
+
+
 def preparers() -> list[Callable[[list[tuple[str, int]], Callable[[str], None]], None]]:
     """What may do much of the work ahead: each is told all names and sizes that are wanted, and takes its own."""
     modules = (import_module(f"{HERE}.{name}") for name in MODULES)
--- a/rushweir/lab/scale/roles.py
+++ b/rushweir/lab/scale/roles.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable, Iterator, Sequence
 from typing import Any
 
-from rushweir.lab.scale import figures, fleet
+from rushweir.lab.scale import bounds, figures, fleet
 from rushweir.lab.scale.children import ChildFailed
 from rushweir.lab.scale.fleet import Times
 from rushweir.lab.scale.samples import Role, Sample
@@ -68,6 +68,15 @@
     return scene, Times(settle=1.0, idle=8.0, driven=0.0)
 
 
+def need(name: str, size: int) -> bounds.Need:
+    """What a role takes at a size. Raises DoesNotFit where there is no such fleet."""
+    try:
+        scene, _ = SMALL.get(name, calm)(size)
+    except ValueError as problem:
+        raise bounds.DoesNotFit(f"{name} at {size}: {problem}") from None
+    return bounds.need_of(scene, bounds.this_machine().cores)
+
+
 SMALL = {"rate": by_rate, "doors": by_doors, "list": by_list}
 
 
--- a/rushweir/lab/scale/runner.py
+++ b/rushweir/lab/scale/runner.py
@@ -15,7 +15,7 @@
 from rushweir.files import replace_file
 from rushweir.lab.scale import bounds
 from rushweir.lab.scale.bounds import DoesNotFit
-from rushweir.lab.scale.registry import preparers
+from rushweir.lab.scale.registry import needs, preparers
 from rushweir.lab.scale.samples import Role, Sample
 
 FORMAT = 1
@@ -37,6 +37,12 @@
     """All samples of the roles at the sizes given, at each role's own where none are; and what failed, a line each.
     Raises DoesNotFit."""
     wanted = [(role.name, size) for role in roles for size in sizes or role.sizes]
+    machine = bounds.this_machine()
+    for name, size, need in needs(wanted):  # all of them before anything starts
+        try:
+            bounds.fits(need, machine)
+        except DoesNotFit as problem:
+            raise DoesNotFit(f"{name} at {size}: {problem}") from None
     for prepare in preparers():
         prepare(wanted, say)
     samples: list[Sample] = []
--- a/tests/lab/scale/test_runner.py
+++ b/tests/lab/scale/test_runner.py
@@ -58,6 +58,16 @@
     assert not file.exists() and "does not fit this machine: too much" in lines[-1]
 
 
+def test_what_does_not_fit_is_refused_before_anything_is_measured(tmp_path: Path):
+    lines, file, asked = [], tmp_path / "capacity.json", []
+    first = Role("first", "first", BY, (1, 2, 3, 4), lambda size: asked.append(size) or [])
+    member = registry.roles()["member"]
+    assert runner.run([first, member], (25, 100_000), file, "", lines.append) == 2
+    assert "does not fit this machine: member at 100000: " in lines[-1] and asked == []
+    assert runner.run([first, member], (4, 2), file, "", lines.append) == 2
+    assert "member at 2: 2 members: 3 hollow ones at least" in lines[-1] and asked == []
+
+
 def test_all_roles_have_names_of_their_own_and_four_sizes():
     roles = registry.roles()
     assert {"ingress", "mail", "member", "seed", "chair", "budgets", "watcher", "check", "request", "list",
--- a/tests/lab/scale/test_scene.py
+++ b/tests/lab/scale/test_scene.py
@@ -106,6 +106,11 @@
     assert bounds.workers(Scene(150, 3), 8) == 7
 
 
+def test_the_short_form_fits_the_descriptors_that_machines_commonly_allow():
+    machine = bounds.Machine(2, 7_000.0, 6_000.0, 1_024, 7_000)
+    bounds.fits(bounds.need_of(Scene(53, 3, per_s=5.0), 2), machine)
+
+
 def test_the_seeds_of_a_scene_are_hollow_ones():
     with pytest.raises(ValueError, match="3 hollow ones at least"):
         Scene(5, real=3)
