--- a/rushweir/cli/change.py
+++ b/rushweir/cli/change.py
@@ -32,8 +32,10 @@
 @click.command()
 @click.argument("file", type=click.Path(path_type=Path, dir_okay=False))
 @click.option("--new", is_flag=True, help="The first start of all of them: there is no log yet.")
+@click.option("--from", "copies", multiple=True, type=click.Path(path_type=Path, dir_okay=False), metavar="COPY",
+              help="Its log is lost: make it of copies of all the others' logs; all are down.")
 @click.option("--log", type=click.Choice(["text", "json"]), default="text", help="Form of the log, standard error.")
-def control(file: Path, new: bool, log: str) -> None:
+def control(file: Path, new: bool, copies: tuple[Path, ...], log: str) -> None:
     """Run one control process with the settings in FILE, until SIGTERM."""
     from rushweir.config import ConfigError
     from rushweir.config.control import load_control
@@ -57,7 +59,7 @@
 
     async def run() -> int:
         try:
-            files = ControlFiles(config.state, config.me, config.count, new)
+            files = ControlFiles(config.state, config.me, config.count, new, copies)
         except (Held, StorageError, OSError) as problem:
             click.echo(str(problem), err=True)
             return 1
--- a/rushweir/daemon/control_files.py
+++ b/rushweir/daemon/control_files.py
@@ -18,12 +18,15 @@
 class ControlFiles:
     """``steps.log`` in a folder."""
 
-    def __init__(self, folder: Path, me: int, count: int, new: bool) -> None:
-        """Takes the folder's lock. Raises lock.Held, StorageError, OSError; ``new``: the first start of all."""
+    def __init__(self, folder: Path, me: int, count: int, new: bool, copies: tuple[Path, ...] = ()) -> None:
+        """Takes the folder's lock. Raises lock.Held, StorageError, OSError; ``new``: the first start of all;
+        ``copies``: the log is lost, and is made of those of all the others, which are down."""
         self.path = folder / NAME
         self.lock = StateLock(folder)
         self.fd = -1
         try:
+            if copies:
+                self._rebuild(me, count, copies)
             self.kept = self._open(me, count, new)
         except BaseException:
             self.lock.close()
@@ -49,6 +52,22 @@
         self.torn = len(data) - kept.good
         return kept
 
+    def _rebuild(self, me: int, count: int, copies: tuple[Path, ...]) -> None:
+        if self.path.exists():
+            raise StorageError(f"{self.path}: is there, and is not overwritten: take it away first")
+        others = []
+        for path in copies:
+            data, why = path.read_bytes(), ""
+            for k in range(count):
+                try:
+                    others.append(storage.read(data, k, count))
+                    break
+                except StorageError as problem:
+                    why = str(problem)
+            else:
+                raise StorageError(f"{path}: {why}")
+        replace_file(self.path, storage.whole(storage.rebuilt(me, count, others).records()), 0o600)
+
     def carry(self, orders: list[Append | Rewrite]) -> int:
         """Carry out in order, so that all outlives a crash; the last serial. Raises OSError: then nobody knows what
         is on disk (a failed fsync may have dropped it), and the process must end."""
--- a/rushweir/lab/sim/control_days.py
+++ b/rushweir/lab/sim/control_days.py
@@ -48,7 +48,8 @@
 SIZE = Size()
 FAULTS = (
     "kill", "restart", "restart", "mid_write", "mid_write", "mid_write", "stop", "stop", "alone", "alone", "alone",
-    "one_way", "one_way", "break_", "break_", "lag", "all", "old_disk", "old_disk", "pass_on", "fall", "fall",
+    "one_way", "one_way", "break_", "break_", "lag", "all", "old_disk", "old_disk", "lost_disk", "pass_on",
+    "fall", "fall",
 )  # fmt: skip
 
 
--- a/rushweir/lab/sim/control_faults.py
+++ b/rushweir/lab/sim/control_faults.py
@@ -135,6 +135,18 @@
         elif tries:
             self.world.later(100.0, self.old_disk, k, 0, 0.0, tries - 1)
 
+    def lost_disk(self, k: int, _: int, ms: float) -> None:
+        """All are down, and the disk of one is made anew of those of the others."""
+        others = [x for x in range(self.size.count) if x != k]
+        if self.put_back is not None or not self.open or len(others) < self.majority:
+            return
+        for x in range(self.size.count):
+            self.controls.kill(x)
+        made = storage.rebuilt(k, self.size.count, [self.controls.on_disk(x) for x in others])
+        self.controls.disks[k].data = storage.whole(made.records())
+        for x in range(self.size.count):
+            self.world.later(self.world.rng.uniform(0.0, ms / 4), self.controls.start, x)
+
     def _left_out(self, times: int) -> None:
         """With a clear way to one that remembers, it was told by now."""
         k, now = self.put_back, self.world.now
--- a/rushweir/rollout/storage.py
+++ b/rushweir/rollout/storage.py
@@ -51,6 +51,10 @@
     entries: list[Entry] = field(default_factory=list)
     good: int = 0  # bytes of the file that are good; what is behind them is a torn end
 
+    @property
+    def last(self) -> int:
+        return self.base.index + len(self.entries)
+
     def records(self) -> Records:
         """The whole of it, as a file begins."""
         return (
@@ -109,6 +113,25 @@
     return kept
 
 
+def rebuilt(me: int, count: int, others: list[Kept]) -> Kept:
+    """The disk of a process that lost its own, of those of *all* the others, none of which ran since.
+
+    What the lost one confirmed, one of the others has: the most complete log of them has all that is in force (Raft,
+    5.4.1), and no term that it voted in is newer than the newest, for who stood in it wrote it down first. Raises
+    StorageError."""
+    if sorted(k.me for k in others) != [k for k in range(count) if k != me]:
+        raise StorageError(f"the files of all the others are needed, not of {sorted(k.me for k in others)}")
+    best = max(others, key=lambda k: (k.entries[-1].term if k.entries else k.base.term, k.last))
+    heard = [max((k.heard[n] for k in others if len(k.heard) == count), default=0) for n in range(count)]
+    for k in others:
+        heard[k.me] = max(heard[k.me], k.position)
+    heard[me] += 1  # beyond all that it told, so that nobody takes it for an older copy
+    return Kept(
+        me, count, max(k.term for k in others), position=heard[me], heard=tuple(heard), base=best.base,
+        committed=min(max(k.committed for k in others), best.last), entries=list(best.entries),
+    )  # fmt: skip
+
+
 class _Reader:
     """The records of a file, in their order."""
 
