--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # Two commands do everything on a fresh machine: `make demo` and `make test`.
 # Both install into .venv, which the bench's adapter uses too; either may come first.
-.PHONY: demo test lint scale clean
+.PHONY: demo test lint scale rollout-days clean
 
 PYTHON ?= python3
 BIN = .venv/bin
@@ -30,5 +30,9 @@
 scale: .venv/.run
 	$(BIN)/python -m rushweir lab scale --json docs/capacity.json
 
+# 500 seeded days of control processes on virtual clocks: some minutes on one core.
+rollout-days: .venv/.dev
+	$(BIN)/python -m rushweir.lab.sim.control_days 500
+
 clean:
 	rm -rf .venv
