--- a/rushweir/lab/scale/registry.py
+++ b/rushweir/lab/scale/registry.py
@@ -14,6 +14,7 @@
     "path",
     "burst",
     "event_roles",
+    "rollout_roles",
 )  # fmt: skip
 # Measured by calls in one process.
 PURE = (
