--- a/rushweir/lab/capacity/sheet.py
+++ b/rushweir/lab/capacity/sheet.py
@@ -36,7 +36,7 @@
 
     value: float  # in base units
     measures: str  # what it measures (units.py)
-    target: float  # the size that it is of
+    target: float  # the size that it is of: the letter's, or the largest measured where it names none
     by: str
     fit: Fit
     how: str
@@ -47,7 +47,8 @@
         return max(1.0, self.fit.factor(self.target))
 
     def __str__(self) -> str:
-        return units.text(self.value, self.measures) + extrapolated(self.factor)
+        at = "" if self.by in BY else f" (at {units.plain(self.target)} {self.by})"
+        return units.text(self.value, self.measures) + at + extrapolated(self.factor)
 
 
 def extrapolated(factor: float) -> str:
@@ -131,8 +132,6 @@
     found: dict[tuple[str, str], Figure] = {}
     short: dict[tuple[str, str], int] = {}
     for key, of in groups.items():
-        if of[0].by not in BY:  # nothing of that kind is asked for at the letter's size
-            continue
         if len({(s.unit, s.by) for s in of}) > 1:
             raise SheetError(f"{'.'.join(key)}: samples in several units, or by several sizes")
         measures = units.base(1.0, of[0].unit)[1]
@@ -141,7 +140,8 @@
         except FitError:
             short[key] = len({s.size for s in of})
             continue
-        target = letter.target(of[0].by)
+        # Of what the letter gives no size of, the largest that was measured stands, and says so.
+        target = letter.target(of[0].by) if of[0].by in BY else made.largest
         how = "/".join(dict.fromkeys(s.how for s in of))
         value = made.at(target)
         if share(key[1]):  # no form knows that there is no more than all
--- a/tests/lab/test_capacity.py
+++ b/tests/lab/test_capacity.py
@@ -261,6 +261,12 @@
     assert worked.figures["mail", "late"].value > 1 == worked.figures["mail", "late_share"].value
 
 
+def test_what_the_letter_gives_no_size_of_stands_at_the_largest_measured(tmp_path: Path):
+    burst = samples("fire", "until_out", "s", {1: 1.0, 2: 2.0, 4: 4.0, 8: 9.0}, by="houses at once")
+    (row,) = tables.events(made(tmp_path, BYTES + burst), {})[2:]
+    assert row.endswith("until out 9 s (at 8 houses at once) |")
+
+
 def test_hollow_ingresses_are_held_against_real_ones(tmp_path: Path):
     found = [
         *samples("check", "mail_sent_bytes", "ratio", {25: 1.02, 50: 0.95}),
