--- a/rushweir/lab/capacity/sheet.py
+++ b/rushweir/lab/capacity/sheet.py
@@ -144,7 +144,7 @@
         target = letter.target(of[0].by) if of[0].by in BY else made.largest
         how = "/".join(dict.fromkeys(s.how for s in of))
         value = made.at(target)
-        if share(key[1]):  # no form knows that there is no more than all
+        if share(key[1]) and target not in made.points:  # no form knows that there is no more than all
             value = min(1.0, value)
         found[key] = Figure(value, measures, target, of[0].by, made, how)
     return found, short
