A restart still holds down who has other doors; the first start of all knows at once who acts on what

The customers in between two settings are on disk before the change that they are of, and are let go when all act on it, as the control processes tell.

--- a/rushweir/cli/change.py
+++ b/rushweir/cli/change.py
@@ -69,7 +69,7 @@
             lines.event("warning", "torn_end_cut", path=str(files.path), at=files.kept.good, bytes=files.torn)
         sessions = None
         if config.watch_key is not None:
-            sessions = Sending(clock(), Book(), config.watch_key, seed=secrets.randbits(63))
+            sessions = Sending(clock(), Book(), config.watch_key, seed=secrets.randbits(63), first=new)
         process = ControlProcess(config, files, clock, lines.event, sessions)
         try:
             return await process.run(lambda line: print(line, flush=True), lambda p: Operators(p).serve())
--- a/rushweir/config/live.py
+++ b/rushweir/config/live.py
@@ -31,7 +31,7 @@
 from rushweir.ingress.asks import Partner
 from rushweir.ingress.core import Core
 from rushweir.ingress.websocket import Setup
-from rushweir.rollout.ceilings import Doors, SlotError, acting
+from rushweir.rollout.ceilings import Between, Doors, SlotError, acting
 from rushweir.rollout.steps import Change, Key
 
 FEW = 128  # changed objects of a kind that are put in place one by one, within a turn
@@ -159,6 +159,14 @@
     return _acting(replace(known, between=known.between.all_at_least(version)), deltas["partners"]), deltas
 
 
+def held(known: Config, between: Between) -> Config:
+    """At a start: the customers that were held down before it still are."""
+    deltas = {g: _unmoved(getattr(known.file, g)) for g in MANY}
+    config = _acting(replace(known, between=between), deltas["partners"])
+    config.file.partners.held.acting = {n: Partner(n, a.plan, a.spread, a.first) for n, a in config.ways.items()}
+    return config
+
+
 def _other(doors: Doors, record: PartnerRecord | None, count: int) -> bool:
     """Whether a partner has other doors than it had."""
     return record is None or _plainly(doors, count) != _plainly(record[2], count)
--- a/rushweir/daemon/rollouts.py
+++ b/rushweir/daemon/rollouts.py
@@ -5,7 +5,9 @@
     a change                        applied in a turn of the loop (reloading.py), then appended to the log
     all act on a version            told to whoever holds ceilings down meanwhile (config/live.py, settled)
 
-Files in the state folder: ``rollout.book`` and ``rollout.log`` (rollout/kept.py), written in a thread in their order.
+Files in the state folder: ``rollout.book`` and ``rollout.log`` (rollout/kept.py), and ``rollout.between``, whose
+customers are held down until all know their new doors (rollout/ceilings.py): a restart must not forget it. It is on
+disk before the change that it is of. All are written in a thread, in their order.
 """
 
 from __future__ import annotations
@@ -29,13 +31,15 @@
 from rushweir.files import replace_file
 from rushweir.link.websocket import Messages, client_protocol
 from rushweir.rollout import kept as disk
+from rushweir.rollout.book import record, records
+from rushweir.rollout.ceilings import Between
 from rushweir.rollout.kept import Append, Kept
 from rushweir.rollout.steps import Change
 from rushweir.rollout.watch_mail import MOST_MESSAGE
 from rushweir.rollout.watching import Apply, Keep, Note, Send, Watching
 from rushweir.rollout.watching_links import Connect, Disconnect
 
-BOOK, LOG = "rollout.book", "rollout.log"
+BOOK, LOG, BETWEEN = "rollout.book", "rollout.log", "rollout.between"
 MOST_UNSENT = 1_048_576  # bytes that wait in a connection; it says little, so more is a connection that is stuck
 
 
@@ -43,7 +47,7 @@
     """What is kept, in a folder that is locked."""
 
     def __init__(self, folder: Path) -> None:
-        self.book, self.log = folder / BOOK, folder / LOG
+        self.book, self.log, self.between = folder / BOOK, folder / LOG, folder / BETWEEN
         self.bytes = 0  # written in this life
 
     def load(self) -> tuple[Kept, list[str]]:
@@ -56,18 +60,29 @@
             kept.failed()
         return kept, wrong
 
-    def write(self, orders: Sequence[Keep]) -> None:
+    def load_between(self) -> Between:
+        """Raises OSError, ValueError, TypeError."""
+        if not self.between.exists():
+            return Between()
+        found = [payload for _, payload in records(self.between.read_bytes(), 0)]
+        if len(found) != 1:
+            raise ValueError(f"{BETWEEN} is torn or altered")
+        return Between.load(found[0])
+
+    def write(self, orders: Sequence[Keep | Between]) -> None:
         """In their order; appended ones that follow on each other with one fsync. Raises OSError."""
         waiting: list[bytes] = []
         for order in orders:
-            if isinstance(order.what, Append):
+            if isinstance(order, Between):
+                replace_file(self.between, record(order.dump()), 0o600)
+            elif isinstance(order.what, Append):
                 waiting.append(order.what.data)
-                continue
-            waiting.clear()  # the book has them
-            data = order.what.book.dump()
-            replace_file(self.book, data, 0o600)
-            replace_file(self.log, disk.MAGIC, 0o600)
-            self.bytes += len(data) + len(disk.MAGIC)
+            else:
+                waiting.clear()  # the book has them
+                data = order.what.book.dump()
+                replace_file(self.book, data, 0o600)
+                replace_file(self.log, disk.MAGIC, 0o600)
+                self.bytes += len(data) + len(disk.MAGIC)
         if waiting:
             with open(self.log, "ab") as file:
                 file.write(b"".join(waiting))
@@ -158,7 +173,8 @@
         self.apply: Callable[[tuple[Change, ...], int], Awaitable[None]] = self._first
         self.wires: dict[int, Wire] = {}
         self.dials: dict[int, asyncio.Task] = {}
-        self.writes: list[Keep] = []
+        self.writes: list[Keep | Between] = []
+        self.between = Between()  # as it is on disk, or will be
         self.writing: asyncio.Task | None = None
         self.tasks: set[asyncio.Task] = set()
         self.timer: asyncio.TimerHandle | None = None
@@ -176,7 +192,9 @@
             try:
                 objects = [(key, data) for key, _, data in book.objects()]
                 config = live.assemble(self.path, objects, book.version)
-            except Refused as problem:
+                self.between = self.files.load_between()
+                config = live.held(config, self.between)
+            except (Refused, ValueError, TypeError) as problem:
                 self.log.event("error", "kept_settings_refused", version=book.version, why=str(problem)[:300])
                 self.core = self._watching(Kept())
             else:
@@ -204,7 +222,8 @@
         ops.methods["status"] = lambda: ops.status() | {"rollout": self.status()}
 
     def status(self) -> dict[str, Any]:
-        told = {"received_bytes": self.received_bytes, "written_bytes": self.files.bytes}
+        held = 0 if self.service is None else len(self.service.config.between.customers)
+        told = {"received_bytes": self.received_bytes, "written_bytes": self.files.bytes, "held_down": held}
         return self.core.status() | told | {"counts": dict(self.core.counts)}
 
     async def stop(self) -> None:
@@ -248,7 +267,7 @@
             self.writing = asyncio.get_running_loop().create_task(self._write())
         if self.service is not None and self.core.least > self.settled:
             self.settled = self.core.least
-            self._spawn(self.service.reloading.settle(self.settled))
+            self._spawn(self._settle(self.settled))
         if self.timer is not None:
             self.timer.cancel()
         wait = max(0.001, (self.core.next_at() - self.clock()) / 1000)
@@ -261,14 +280,35 @@
     def _spawn(self, work: Any) -> None:
         task = asyncio.get_running_loop().create_task(work)
         self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
+        task.add_done_callback(self._done)
+
+    def _keep_between(self) -> None:
+        now = self.service.config.between if self.service is not None else self.between
+        if now != self.between:
+            self.between = now
+            self.writes.append(now)
+
+    async def _settle(self, version: int) -> None:
+        await self.service.reloading.settle(version)
+        self._keep_between()
+        self.carry_out()
+        self.log.event("info", "settings_everywhere", version=version)
+
+    def _done(self, task: asyncio.Task) -> None:
+        self.tasks.discard(task)
+        if not task.cancelled() and (problem := task.exception()) is not None:
+            self.log.event("error", "rollout_failed", why=repr(problem)[:300])
 
     async def _apply(self, order: Apply) -> None:
         try:
             await self.apply(order.changes, order.version)
+            self._keep_between()
         except Refused as problem:
             key, field, text = problem.wrong[0]
             self.core.refused(self.clock(), order.version, key, field, text)
+        except Exception as problem:  # a fault of the program, at one change: it stays on what it has and says so
+            self.log.event("error", "rollout_failed", version=order.version, why=repr(problem)[:300])
+            self.core.refused(self.clock(), order.version, ("", ""), "", f"the program failed: {problem!r}"[:300])
         else:
             self.core.applied(self.clock(), order.version)
             self.log.event("info", "settings_in_force", version=order.version, changes=len(order.changes))
@@ -295,8 +335,9 @@
         while self.writes:
             orders, self.writes = self.writes, []
             if self.broken:  # nothing goes behind a torn end; the book is written anew first
-                at = next((n for n, o in enumerate(orders) if not isinstance(o.what, Append)), len(orders))
-                orders = orders[at:]
+                whole = (n for n, o in enumerate(orders) if isinstance(o, Keep) and not isinstance(o.what, Append))
+                orders = orders[next(whole, len(orders)) :]
+                orders = [self.between, *orders] if orders else []
             if not orders:
                 continue
             try:
@@ -306,7 +347,8 @@
                 self.core.keep_failed(self.clock(), str(problem))
             else:
                 self.broken = False
-                self.core.kept(self.clock(), orders[-1].version)
+                if kept := [o.version for o in orders if isinstance(o, Keep)]:
+                    self.core.kept(self.clock(), kept[-1])
             with contextlib.suppress(RuntimeError):  # the loop ends
                 self.writing_done()
         self.writing = None
--- a/rushweir/lab/sim/rollout_watch.py
+++ b/rushweir/lab/sim/rollout_watch.py
@@ -51,7 +51,7 @@
         self.foreign: set[str] = set()  # with a disk put in from elsewhere, not mended yet
         self.mended: set[tuple[str, int]] = set()  # lives that began so
         self.lost_at: deque[tuple[float, str]] = deque()
-        self.dialed: deque[float] = deque()
+        self.dialed: deque[tuple[float, str]] = deque()
         self.latest: list[float] = []  # ms to in force, of each applied
         self.later(LOOK_MS, self._looks)
 
@@ -133,14 +133,15 @@
         while self.lost_at and self.lost_at[0][0] < self.now - 5_000:
             self.lost_at.popleft()
         if any(name == i.name for _, name in self.lost_at):
-            self.dialed.append(self.now)
-            while self.dialed[0] < self.now - AT_ONCE_MS:
+            self.dialed.append((self.now, i.name))
+            while self.dialed[0][0] < self.now - AT_ONCE_MS:
                 self.dialed.popleft()
             # Only what one event did together: those who were lost within a moment of each other.
             last = self.lost_at[-1][0]
-            together = sum(last - at < 50.0 for at, _ in self.lost_at)
-            if together >= AT_ONCE_FROM and len(self.dialed) > AT_ONCE_PART * together:
-                raise Broken(f"{len(self.dialed)} of {together} came over within {AT_ONCE_MS:.0f} ms")
+            together = {name for at, name in self.lost_at if last - at < 50.0}
+            came = together & {name for at, name in self.dialed if at > last - 50.0}
+            if len(together) >= AT_ONCE_FROM and len(came) > AT_ONCE_PART * len(together):
+                raise Broken(f"{len(came)} of {len(together)} came over within {AT_ONCE_MS:.0f} ms")
         super()._dials(i, order)
 
     # --- now and then ----------------------------------------------------------------------------
--- a/rushweir/rollout/sending.py
+++ b/rushweir/rollout/sending.py
@@ -61,12 +61,12 @@
 
     def __init__(
         self, now: float, book: Book, key: bytes = b"", rates: Rates | None = None, seed: int = 0,
-        expire_ms: float = EXPIRE_MS,
+        expire_ms: float = EXPIRE_MS, first: bool = False,
     ) -> None:  # fmt: skip
-        """``book`` is what the log made so far; each ``committed`` step changes it."""
+        """``book`` is what the log made so far; each ``committed`` step changes it. ``first``: as Standing has it."""
         self.now, self.book, self.key, self.rng = now, book, key, random.Random(seed)
         self.bucket = Bucket(rates or Rates(), now)
-        self.standing = Standing(now, expire_ms)
+        self.standing = Standing(now, expire_ms, first)
         self.sessions: dict[int, Session] = {}
         self.by_name: dict[str, int] = {}
         self.recent: dict[int, Recent] = {}
--- a/rushweir/rollout/sending_standing.py
+++ b/rushweir/rollout/sending_standing.py
@@ -12,7 +12,8 @@
   itself, only at what a control process told it, so one that is out of reach goes on with the smaller ceiling of its
   version, and all together spend no more than the larger of the two.
 - A control process that starts knows nobody, and would say too much: it tells no ``least`` until another that knows
-  told it, or ``expire_ms`` went by, in which all that are within reach came to it or to the others.
+  told it, or ``expire_ms`` went by, in which all that are within reach came to it or to the others. At the first
+  start of all there is nobody to know.
 - What was told is never taken back. An ingress that comes back with an older version after it expired is behind until
   its steps came, as one is that was out of reach; while it is heard and behind, nothing further is raised.
 """
@@ -37,11 +38,12 @@
 class Standing:
     """The account of one control process."""
 
-    def __init__(self, now: float, expire_ms: float = EXPIRE_MS) -> None:
+    def __init__(self, now: float, expire_ms: float = EXPIRE_MS, first: bool = False) -> None:
+        """``first``: of the first start of all control processes, when nobody can act on anything yet."""
         self.begun, self.expire = now, expire_ms
         self.known: dict[str, Known] = {}
         self.here: set[str] = set()  # with a session that is open here
-        self.told, self.complete, self.changed = 0, False, True
+        self.told, self.complete, self.changed = 0, first, True
 
     def heard(self, now: float, who: str, acts: int, why: str = "", at: int = 0) -> bool:
         """Of one of our own; False where there is no room for it."""
--- a/tests/rollout/rollout_stage.py
+++ b/tests/rollout/rollout_stage.py
@@ -64,7 +64,7 @@
     async def first(self, partners: int = 3) -> int:
         """The first settings: a class, a plan and some partners."""
         return await self.change(
-            ("class", "position", CLASS), ("plan", "wide", PLAN),
+            ("class", "position", CLASS), ("plan", "wide", PLAN), ("log", "", b"form json\n"),
             *(("partner", f"p{n}", partner(n)) for n in range(partners)),
         )  # fmt: skip
 
--- a/tests/rollout/test_rollout_processes.py
+++ b/tests/rollout/test_rollout_processes.py
@@ -25,6 +25,9 @@
             assert names == {"p0", "p2", "new"}
         told = await s.seen(0, lambda rows: [rows[n]["acts"] for n in DOORS if n in rows] == [later] * 3)
         assert [(r["behind"], r["why"]) for r in told["ingresses"]] == [(0, "")] * 3
+        for name in DOORS:  # and each is told that all do
+            await s.line(name, "settings_everywhere", version=later)
+            assert not [x for x in s.lines[name] if x["event"] == "rollout_failed"]
 
         for k in (0, 1, 2):
             await s.stage.kill(k)
@@ -32,7 +35,7 @@
         await s.start("door-a")
         await s.serving("door-a")
         assert (await s.status("door-a"))["rollout"]["version"] == later
-        assert (await s.line("door-a", "settings_kept", version=later))["objects"] == 5
+        assert (await s.line("door-a", "settings_kept", version=later))["objects"] == 6
 
     play(tmp_path, body)
 
@@ -105,6 +108,31 @@
     play(tmp_path, body)
 
 
+def test_a_restart_still_holds_down_who_has_other_doors_until_all_know_them(tmp_path: Path) -> None:
+    async def body(s: Site) -> None:
+        await s.up("door-a", "door-b", numbers={"door-a": (0, 2), "door-b": (1, 2)})
+        await s.start("door-a", "door-b")
+        first = await s.first()
+        await s.serving("door-a", "door-b")
+        await s.seen(0, lambda rows: {r["acts"] for r in rows.values()} == {first} and len(rows) == 2)
+        await s.kill("door-b")
+        moved = await s.change(("partner", "p0", partner(0, "through 1 1\n")))
+        await s.in_force(moved, "door-a")
+        assert (await s.status("door-a"))["rollout"]["held_down"] == 1
+        await s.seen(0, lambda rows: rows["door-a"]["acts"] == moved)  # on its disk
+        await s.kill("door-a")
+        await s.start("door-a")
+        await s.serving("door-a")
+        told = (await s.status("door-a"))["rollout"]
+        assert (told["version"], told["held_down"]) == (moved, 1)
+        await s.start("door-b")
+        await s.serving("door-b")
+        await s.line("door-a", "settings_everywhere", version=moved)
+        assert (await s.status("door-a"))["rollout"]["held_down"] == 0
+
+    play(tmp_path, body)
+
+
 def test_a_change_costs_an_ingress_the_same_bytes_whatever_the_settings_size(tmp_path: Path) -> None:
     async def body(s: Site) -> None:
         await s.up("door-a")
