--- a/rushweir/rollout/sending.py
+++ b/rushweir/rollout/sending.py
@@ -111,11 +111,12 @@
     def set_current(self, now: float, current: bool) -> None:
         """Whether a majority of the control processes hears this one."""
         self._clock(now)
+        if current is self.current:
+            return
         self.current = current
-        if current:
-            for s in list(self.sessions.values()):
-                if s.state is HELD:
-                    self._line_up(s)
+        for s in list(self.sessions.values()) if current else ():
+            if s.state is HELD:
+                self._line_up(s)
         self._pump()
 
     def opened(self, now: float, conn: int) -> None:
--- a/tests/rollout/test_sending.py
+++ b/tests/rollout/test_sending.py
@@ -11,7 +11,7 @@
 from rushweir.rollout import watch_mail as mail
 from rushweir.rollout.kept import Kept
 from rushweir.rollout.sending_records import Rates
-from rushweir.rollout.steps import Change, Step
+from rushweir.rollout.steps import MOST_OBJECT, Change, Step
 from tests.rollout.conftest import KEY, Scene
 
 
@@ -303,3 +303,15 @@
     scene.commit(("a", b"4"))
     scene.run(500)
     assert (i.core.version, d.counts["wholes"]) == (4, 1)
+
+
+def test_a_step_of_the_largest_size_gets_through(scene: Scene) -> None:
+    c = scene.control("c")
+    i, other = scene.ingress("i"), scene.ingress("other")
+    scene.run(500)
+    rng = random.Random(4)
+    number = scene.commit(*((f"p{n}", rng.randbytes(MOST_OBJECT)) for n in range(15)), ("p15", rng.randbytes(65_000)))
+    after = scene.commit(("p1", b"small"))
+    scene.run(2_000)
+    assert (number, i.core.version, other.core.version) == (1, after, after)
+    assert i.core.book.digest() == c.book.digest()
