What reads settings alone needs no second file beside it, and its list test asks by the role's name

python -m rushweir.lab.scale.pure_settings FILE failed without a few.conf beside FILE. The test of the list's role asked for the name from before and failed since then; it asks for list_alone now, with the same assertions and plant.

--- a/rushweir/lab/scale/pure_costs.py
+++ b/rushweir/lab/scale/pure_costs.py
@@ -17,7 +17,7 @@
     Term(Counts.SIZE, (), 100), Term(Counts.ENTRIES, ("trip", "stops"), 500), Term(Counts.VALUE, ("people",), 250),
 )  # fmt: skip
 PRICES = 1_000  # in a block that is timed
-COST = "cost \"{name}\" {{\n    base 1.5\n    per-kilobyte 0.1\n}}\n"
+COST = 'cost "{name}" {{\n    base 1.5\n    per-kilobyte 0.1\n}}\n'
 
 
 def names(count: int) -> list[str]:
@@ -42,7 +42,6 @@
     with tempfile.TemporaryDirectory(prefix="rushweir-scale-") as folder:
         file = Path(folder, "main.conf")
         file.write_text(settings_text(FEW) + "".join(COST.format(name=n) for n in known))
-        Path(folder, "few.conf").write_text(settings_text(FEW))
         told = child("rushweir.lab.scale.pure_settings", str(file))
     yield Sample(role, "cpu_to_read", "s", by, size, told["made_s"], "core")
     yield Sample(role, "memory_of_settings", "MB", by, size, told["bytes"] / 1e6, "core")
--- a/rushweir/lab/scale/pure_settings.py
+++ b/rushweir/lab/scale/pure_settings.py
@@ -72,10 +72,10 @@
 
 def read_cost(file: Path) -> dict[str, float]:
     """Processor time and memory that reading a file and making all of it costs, beside a small one read before."""
-    from rushweir.config import load
+    from rushweir.config import load, load_text
 
-    few = file.with_name("few.conf")
-    load(few).setup(1, "x-")  # grammar, models and their tables are in memory by now
+    # Grammar, models and their tables are in memory by then.
+    load_text(settings_text(FEW), "few.conf", file.parent).setup(1, "x-")
     memory, began = resident(), time.process_time()
     config = load(file)
     read = time.process_time() - began
@@ -90,7 +90,6 @@
     with tempfile.TemporaryDirectory(prefix="rushweir-scale-") as folder:
         file = Path(folder, "main.conf")
         file.write_text(settings_text(size))
-        Path(folder, "few.conf").write_text(settings_text(FEW))
         told = child("rushweir.lab.scale.pure_settings", str(file))
         length = file.stat().st_size
     yield Sample(role, "cpu_to_read", "s", by, size, told["made_s"], "core")
--- a/tests/lab/test_capacity.py
+++ b/tests/lab/test_capacity.py
@@ -301,10 +301,10 @@
 @pytest.mark.parametrize(
     ("change", "named"),
     [
-        (("column = \"bytes\"", "column = \"weight\""), "weight"),
-        (("allowance = \"bytes\"", "allowance = \"memory\""), "flow against an allowance of bytes"),
-        (("allowance = \"bytes\"", "allowance = \"gold\""), "gold"),
-        (("times = \"requests\"", "times = \"moons\""), "moons"),
+        (('column = "bytes"', 'column = "weight"'), "weight"),
+        (('allowance = "bytes"', 'allowance = "memory"'), "flow against an allowance of bytes"),
+        (('allowance = "bytes"', 'allowance = "gold"'), "gold"),
+        (('times = "requests"', 'times = "moons"'), "moons"),
     ],
 )
 def test_texts_that_do_not_fit_are_refused(tmp_path: Path, change: tuple[str, str], named: str):
--- a/tests/lab/test_pure.py
+++ b/tests/lab/test_pure.py
@@ -80,7 +80,7 @@
 
 def test_a_change_of_the_list_carries_one_backend_and_the_whole_carries_all(monkeypatch: pytest.MonkeyPatch):
     def check() -> None:
-        found = told("list")
+        found = told("list_alone")
         assert len(set(found["change_bytes"].values())) == 1
         assert 0.9 < grows(found["whole_bytes"]) < 1.1 and 0.9 < grows(found["kept_bytes"]) < 1.1
         assert found["memory"][80] > found["memory"][10]
@@ -228,7 +228,7 @@
 
 
 def test_a_child_that_fails_says_why():
-    with pytest.raises(RuntimeError, match="few.conf:1:1: can't be read"):
+    with pytest.raises(RuntimeError, match="/no-such-file:1:1: can't be read"):
         pure_measure.child("rushweir.lab.scale.pure_settings", "/no-such-file")
 
 
