All ingresses act on a version: told to a daemon, kept over a start; partners without a ceiling need no in-between

Reloading.settled and live.assemble carry what is between two versions. Only partners whose plan has a ceiling are noted, so that many may go at once.

--- a/rushweir/config/live.py
+++ b/rushweir/config/live.py
@@ -31,7 +31,7 @@
 from rushweir.ingress.asks import Partner
 from rushweir.ingress.core import Core
 from rushweir.ingress.websocket import Setup
-from rushweir.rollout.ceilings import Doors, SlotError, acting
+from rushweir.rollout.ceilings import Between, Doors, SlotError, acting
 from rushweir.rollout.steps import Change, Key
 
 FEW = 128  # changed objects of a kind that are put in place one by one, within a turn
@@ -73,14 +73,18 @@
     return config, reading.deltas
 
 
-def assemble(path: Any, kept: Iterable[tuple[Key, bytes]], version: int) -> Config:
-    """The settings of a start: the machine's own file, and the objects of a version. Raises ConfigError, Refused."""
+def assemble(
+    path: Any, kept: Iterable[tuple[Key, bytes]], version: int, between: Between | None = None, seat: int = -1
+) -> Config:
+    """The settings of a start: the machine's own file, and the objects of a version, with what was ``between`` when
+    they were kept: not all may act on it yet. Raises ConfigError, Refused."""
     reading = Reading(text_of(path), str(path), path.parent, None, SHARED)
     if reading.problems or reading.file is None:
         raise reading.error()
     groups = reading.groups
     groups["partners"].held.everywhere = reading.file.ingress[1]
-    config = Config(reading.file.model_copy(update=groups), path.parent, None, reading.spots, (path,))
+    config = Config(reading.file.model_copy(update=groups), path.parent, None, reading.spots, (path,), seat)
+    config = replace(config, between=between or Between())
     few, many = list[Change](), list[Change]()
     for key, data in kept:
         (many if path_of(key)[0] in MANY else few).append(Change(key, data))
@@ -96,6 +100,7 @@
         checks.users(config.file.console, config.base, reading.spots, problems)
     if problems:
         raise reading.reader.error(problems)
+    groups["partners"].held.acting = _partners(config)
     return replace(config, peer_key=peer_key, files=(path, *reading.reader.files))
 
 
@@ -143,7 +148,9 @@
     mine = deltas["partners"]
     count = file.ingress[1]
     slots, held = mine.group.slots, mine.group.held
-    had = {name: held.doors[slots[name]] for name in (*mine.put, *mine.gone) if name in slots}
+    bound = {name for name, p in known.file.plans.items() if p.ceiling_rate}  # without a ceiling there is no whole
+    touched = ((name, slots[name]) for name in (*mine.put, *mine.gone) if name in slots)
+    had = {name: held.doors[slot] for name, slot in touched if held.plans[slot] in bound}
     had = {name: doors for name, doors in had.items() if _other(doors, mine.get(name), count)}
     try:
         between = known.between.changed(version, had) if count > 1 else known.between
@@ -176,6 +183,11 @@
     return replace(config, ways=ways, made=tuple(made))
 
 
+def _partners(config: Config) -> dict[str, Partner]:
+    """Partners as their requests are counted in between."""
+    return {n: Partner(n, a.plan, a.spread, a.first) for n, a in config.ways.items()}
+
+
 def _unmoved(group: Any) -> Delta:
     """A delta of which all that is not named stays, and stays where it stands."""
     return Delta(group, whole=False)
@@ -267,7 +279,7 @@
         setup.front.costs.routes = routed.routes
     known, new = prepared.beside, prepared.config
     if new.ways != known.ways:
-        partners.held.acting = {n: Partner(n, a.plan, a.spread, a.first) for n, a in new.ways.items()}
+        partners.held.acting = _partners(new)
     names = {*mine.put, *mine.gone, *(n for n in (*known.ways, *new.ways) if known.ways.get(n) != new.ways.get(n))}
     usage = core.watch.usage
     usage.change({name: record[0] for name, (record, _) in mine.put.items()}, mine.gone)
--- a/rushweir/daemon/reloading.py
+++ b/rushweir/daemon/reloading.py
@@ -12,6 +12,7 @@
 from rushweir.config.objects import Refused
 from rushweir.daemon.decisions import needs_restart
 from rushweir.daemon.notify import notify, reloading
+from rushweir.rollout.ceilings import OVER_TERMS
 from rushweir.rollout.steps import Change
 
 SWITCH_S, RELOAD_SWITCH_S = sys.getswitchinterval(), 0.0005
@@ -28,7 +29,7 @@
 
     def _setup(self, config: Config) -> Any: ...
 
-    def taken(self, config: Config, changes: Sequence[Any]) -> None: ...
+    def taken(self, config: Config, changes: Sequence[Any] | None) -> None: ...
 
 
 class Reloading:
@@ -82,6 +83,18 @@
             s.taken(prepared.config, changes)
             s.shell.carry_out()
 
+    async def settled(self, version: int) -> None:
+        """All ingresses act on a version, or on a later one. Where ceilings are lent that counts some terms later."""
+        s = self.service
+        if s.config.file.fleet is not None:
+            await asyncio.sleep(OVER_TERMS * s.config.file.budgets.term / 1000)
+        async with self.lock:
+            new, deltas = live.settled(s.config, version)
+            prepared = live.prepare(s.config, new, deltas, s._setup, s.core.setup, rows=False)
+            live.apply(s.core, prepared, s.clock())
+            s.taken(new, None)
+            s.shell.carry_out()
+
     def _told(self, changes: Sequence[Change], version: int) -> live.Prepared:
         s = self.service
         new, deltas = live.told(s.config, changes, version)
--- a/rushweir/daemon/service.py
+++ b/rushweir/daemon/service.py
@@ -213,12 +213,13 @@
         """Read the settings again and apply them, whole or not at all; what changed. Raises ConfigError."""
         return await self.reloading.reload()
 
-    def taken(self, new: Config, changes: Sequence[Any]) -> None:
-        """Other settings hold."""
+    def taken(self, new: Config, changes: Sequence[Any] | None) -> None:
+        """Other settings hold; None: the same ones, which all act on by now."""
         self.config = self.ops.config = new
         self.log.adopt(*log_settings(new))
-        self.ops.reloaded_at = self.clock()
-        self.core.tell(self.clock(), "info", "reloaded", changes=len(changes))
+        if changes is not None:
+            self.ops.reloaded_at = self.clock()
+            self.core.tell(self.clock(), "info", "reloaded", changes=len(changes))
 
     async def _reload_by_signal(self) -> None:
         with contextlib.suppress(ConfigError):  # the log has it
--- a/rushweir/rollout/ceilings.py
+++ b/rushweir/rollout/ceilings.py
@@ -31,7 +31,7 @@
 SLOTS = 256  # what one byte names
 LOCAL = 8  # the last of them: plans that one ingress made up for what is in between; to all others they are closed
 MOST_PLANS = SLOTS - LOCAL
-MOST_BETWEEN = 4_096  # customers whose doors change at once
+MOST_BETWEEN = 16_384  # customers with a ceiling whose doors change, or who go, before all ingresses know it
 OVER_TERMS = 4  # of budgets: so long after all act on a version nothing lent by an older one is left
 REMEMBERED_MS = 90_000.0  # a customer is remembered while idle for 30 s, and each request for its deadline at most
 
@@ -137,7 +137,7 @@
             ways = known[name][1] if name in known else ()
             known[name] = version, tuple(dict.fromkeys((*ways, had)))
         if len(known) > MOST_BETWEEN:
-            raise SlotError(f"more than {MOST_BETWEEN} partners whose doors change before all ingresses know it")
+            raise SlotError(f"more than {MOST_BETWEEN} partners whose doors change, or who go, before all know it")
         return replace(self, customers=known)
 
     def all_at_least(self, version: int) -> Between:
