--- a/rushweir/daemon/reloading.py
+++ b/rushweir/daemon/reloading.py
@@ -30,7 +30,7 @@
 
     def _setup(self, config: Config) -> Any: ...
 
-    def taken(self, config: Config, changes: Sequence[Any]) -> None: ...
+    def taken(self, config: Config, changes: Sequence[Any] | None) -> None: ...
 
 
 class Reloading:
@@ -93,8 +93,9 @@
         async with self.lock:
             new, deltas = live.settled(s.config, version)
             if new.between != s.config.between:
-                live.apply(s.core, live.prepare(s.config, new, deltas, s._setup, s.core.setup, rows=False), s.clock())
-            s.config = s.ops.config = new
+                prepared = live.prepare(s.config, new, deltas, s._setup, s.core.setup, rows=False)
+                live.apply(s.core, prepared, s.clock())
+            s.taken(new, None)
             s.shell.carry_out()
 
     def _told(self, changes: Sequence[Change], version: int) -> live.Prepared:
--- a/tests/rollout/rollout_stage.py
+++ b/tests/rollout/rollout_stage.py
@@ -33,7 +33,7 @@
 }}
 """
 CLASS = b"aim 800ms\ndeadline 3s\nrepeat safe\n"
-PLAN = b"rate 100000/s\nburst 100000\n"
+PLAN = b"rate 100000/s\nburst 100000\nceiling-rate 500/s\nceiling-burst 500\n"  # without a ceiling: never held down
 
 
 def partner(digest: int, more: str = "") -> bytes:
