--- a/rushweir/lab/scale/runner.py
+++ b/rushweir/lab/scale/runner.py
@@ -92,7 +92,7 @@
         return done.stdout.strip() if done.returncode == 0 else ""
 
     found = git("rev-parse", "HEAD")
-    return found + ("+" if found and git("status", "--porcelain", "--untracked-files=no", "--", ".") else "")
+    return found + ("+" if found and git("status", "--porcelain", "--untracked-files=no", "--", ":/rushweir") else "")
 
 
 def run(
--- a/tests/lab/scale/test_processes.py
+++ b/tests/lab/scale/test_processes.py
@@ -6,6 +6,7 @@
 import os
 import signal
 import sys
+import tempfile
 from pathlib import Path
 
 import pytest
@@ -32,10 +33,10 @@
 
 @pytest.mark.parametrize(("sign", "code"), [(signal.SIGINT, 1), (signal.SIGKILL, -signal.SIGKILL)])
 def test_nothing_is_left_of_a_run_that_is_stopped(sign: signal.Signals, code: int):
-    async def main() -> None:
+    async def main(folder: str) -> None:
         process = await asyncio.create_subprocess_exec(
             sys.executable, "-m", "rushweir", "lab", "scale", "member", "--sizes", "6",
-            stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.DEVNULL,
+            stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.DEVNULL, env={**os.environ, "TMPDIR": folder},
         )  # fmt: skip
         try:
             lines = []
@@ -53,12 +54,15 @@
                 await asyncio.gather(*(ended(x) for x in files))
             for x in files:
                 os.close(x)
+            # Its files go too where it ends by itself; who is killed can't take them along.
+            assert bool(os.listdir(folder)) is (sign is signal.SIGKILL)
         finally:
             if process.returncode is None:
                 process.kill()
                 await process.wait()
 
-    asyncio.run(main())
+    with tempfile.TemporaryDirectory(prefix="scale-") as folder:  # short: sockets lie in it, whose paths are bounded
+        asyncio.run(main(folder))
 
 
 def test_a_size_that_does_not_fit_is_refused_before_anything_starts():
