--- a/rushweir/lab/sim/control_world.py
+++ b/rushweir/lab/sim/control_world.py
@@ -4,7 +4,7 @@
 
 from __future__ import annotations
 
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
@@ -50,8 +50,9 @@
         self.cut: set[tuple[int, int]] = set()
         self.epoch = {(a, b): 0 for a in range(count) for b in range(a + 1, count)}
         self.up = dict.fromkeys(self.epoch, False)
-        self.free_at: dict[tuple[int, int], float] = {}  # order is kept
-        self.stalled: dict[tuple[int, int], deque[bytes]] = {}
+        self.free_at: dict[tuple[int, int], float] = {}
+        self.sent: dict[tuple[int, int], deque[bytes]] = {}  # and not arrived, in their order
+        self.held: Counter[tuple[int, int]] = Counter()  # so many of them would have arrived but for a cut
         self.delay_ms = (0.5, 4.0)
         for pair in self.epoch:
             self._relink_later(pair)
@@ -61,43 +62,40 @@
         return (min(a, b), max(a, b))
 
     def send(self, a: int, b: int, body: list[Any]) -> None:
-        pair = self.pair(a, b)
-        if not self.up[pair]:
+        if not self.up[self.pair(a, b)]:
             return
-        data = msgpack.packb(body)
-        if (a, b) in self.cut:
-            self._stall(a, b, data)
+        waiting = self.sent.setdefault((a, b), deque())
+        waiting.append(msgpack.packb(body))
+        if len(waiting) > QUEUE // 2:
+            self.reset(a, b)
             return
-        self._on_its_way(a, b, data)
+        self._on_its_way(a, b)
 
-    def _on_its_way(self, a: int, b: int, data: bytes) -> None:
+    def _on_its_way(self, a: int, b: int) -> None:
         at = max(self.free_at.get((a, b), 0.0), self.world.now + self.world.rng.uniform(*self.delay_ms)) + 1e-6
         self.free_at[a, b] = at
-        self.world.later(at - self.world.now, self._arrive, a, b, self.epoch[self.pair(a, b)], data)
-
-    def _stall(self, a: int, b: int, data: bytes) -> None:
-        waiting = self.stalled.setdefault((a, b), deque())
-        waiting.append(data)
-        if len(waiting) > QUEUE // 2:
-            self.reset(a, b)
+        self.world.later(at - self.world.now, self._arrive, a, b, self.epoch[self.pair(a, b)])
 
-    def _arrive(self, a: int, b: int, epoch: int, data: bytes) -> None:
+    def _arrive(self, a: int, b: int, epoch: int) -> None:
+        """The next one, whichever it is: so their order is kept whatever was cut and mended meanwhile."""
         if self.epoch[self.pair(a, b)] != epoch:
             return
         if (a, b) in self.cut:
-            self._stall(a, b, data)
+            self.held[a, b] += 1
             return
         p = self.world.at.get(b)
         if p is not None and p.up and p.stopped and len(p.queue) >= QUEUE - 1:
             self.reset(a, b)
             return
-        self.world._arrive(b, (a, data))
+        self.world._arrive(b, (a, self.sent[a, b].popleft()))
 
     def reset(self, a: int, b: int) -> None:
         pair = self.pair(a, b)
         self.epoch[pair] += 1
         for way in (pair, pair[::-1]):
-            self.stalled.pop(way, None)
+            self.sent.pop(way, None)
+            self.held.pop(way, None)
+            self.free_at.pop(way, None)
         if self.up[pair]:
             self.up[pair] = False
             self._relink_later(pair)
@@ -112,8 +110,6 @@
             self._relink_later(pair)
             return
         self.up[pair] = True
-        self.free_at.pop(pair, None)
-        self.free_at.pop((b, a), None)
         for p, other in zip(ends, (b, a), strict=True):
             p.core.core.linked(p.clock(self.world.now), other)
             self.world._turned(p)
@@ -121,8 +117,8 @@
     def mend(self, ways: set[tuple[int, int]]) -> None:
         self.cut -= ways
         for a, b in sorted(ways):
-            for data in self.stalled.pop((a, b), ()):
-                self._on_its_way(a, b, data)
+            for _ in range(self.held.pop((a, b), 0)):
+                self._on_its_way(a, b)
 
 
 @dataclass(slots=True)
