--- a/rushweir/daemon/reloading.py
+++ b/rushweir/daemon/reloading.py
@@ -26,11 +26,10 @@
     core: Any
     shell: Any
     clock: Any
-    ops: Any
 
     def _setup(self, config: Config) -> Any: ...
 
-    def taken(self, config: Config, changes: Sequence[Any]) -> None: ...
+    def taken(self, config: Config, changes: Sequence[Any] | None) -> None: ...
 
 
 class Reloading:
@@ -84,17 +83,16 @@
             s.taken(prepared.config, changes)
             s.shell.carry_out()
 
-    async def settle(self, version: int) -> None:
-        """All ingresses act on a version or on a later one: what was held down for those behind is not any more.
-        Where ceilings are lent, what was lent by an older one is over first."""
+    async def settled(self, version: int) -> None:
+        """All ingresses act on a version, or on a later one. Where ceilings are lent that counts some terms later."""
         s = self.service
         if s.config.file.fleet is not None:
             await asyncio.sleep(OVER_TERMS * s.config.file.budgets.term / 1000)
         async with self.lock:
             new, deltas = live.settled(s.config, version)
-            if new.between != s.config.between:
-                live.apply(s.core, live.prepare(s.config, new, deltas, s._setup, s.core.setup, rows=False), s.clock())
-            s.config = s.ops.config = new
+            prepared = live.prepare(s.config, new, deltas, s._setup, s.core.setup, rows=False)
+            live.apply(s.core, prepared, s.clock())
+            s.taken(new, None)
             s.shell.carry_out()
 
     def _told(self, changes: Sequence[Change], version: int) -> live.Prepared:
