--- a/rushweir/config/reading.py
+++ b/rushweir/config/reading.py
@@ -250,7 +250,7 @@
             continue
         spots.setdefault(path, d.spot)
         first = len(raw.get(name, ())) if often == "words" else 0
-        for k in range(len(d.values)):
+        for k in range(0 if often == "values" else len(d.values)):  # of several lines each has one place, below
             spots[(*path, first + k)] = d.at(k)
         inner = _model(kind)
         if inner is not None:
--- a/rushweir/daemon/reloading.py
+++ b/rushweir/daemon/reloading.py
@@ -26,7 +26,6 @@
     core: Any
     shell: Any
     clock: Any
-    ops: Any
 
     def _setup(self, config: Config) -> Any: ...
 
@@ -84,7 +83,7 @@
             s.taken(prepared.config, changes)
             s.shell.carry_out()
 
-    async def settle(self, version: int) -> None:
+    async def settled(self, version: int) -> None:
         """All ingresses act on a version or on a later one: what was held down for those behind is not any more.
         Where ceilings are lent, what was lent by an older one is over first."""
         s = self.service
--- a/rushweir/daemon/rollouts.py
+++ b/rushweir/daemon/rollouts.py
@@ -288,7 +288,7 @@
             self.writes.append(now)
 
     async def _settle(self, version: int) -> None:
-        await self.service.reloading.settle(version)
+        await self.service.reloading.settled(version)
         self._keep_between()
         self.carry_out()
         self.log.event("info", "settings_everywhere", version=version)
