--- a/tests/rollout/test_control_processes.py
+++ b/tests/rollout/test_control_processes.py
@@ -131,6 +131,9 @@
     await s.propose(other, "p4", b"x")
     await s.all_have(4)
     await s.kill(k)
+    await s.start(k)  # nothing was written behind the torn end
+    await s.all_have(4)
+    await s.kill(k)
     whole = bytearray(s.log(k).read_bytes())
     whole[len(good) // 2] ^= 1
     s.log(k).write_bytes(whole)
