A start gives what was between two settings to the reading of the kept ones

live.assemble takes it by now, so a second way to it goes. The test of it has a plan with a ceiling: one without needs no in-between since then.

--- a/rushweir/config/live.py
+++ b/rushweir/config/live.py
@@ -166,14 +166,6 @@
     return _acting(replace(known, between=known.between.all_at_least(version)), deltas["partners"]), deltas
 
 
-def held(known: Config, between: Between) -> Config:
-    """At a start: the customers that were held down before it still are."""
-    deltas = {g: _unmoved(getattr(known.file, g)) for g in MANY}
-    config = _acting(replace(known, between=between), deltas["partners"])
-    config.file.partners.held.acting = {n: Partner(n, a.plan, a.spread, a.first) for n, a in config.ways.items()}
-    return config
-
-
 def _other(doors: Doors, record: PartnerRecord | None, count: int) -> bool:
     """Whether a partner has other doors than it had."""
     return record is None or _plainly(doors, count) != _plainly(record[2], count)
--- a/rushweir/daemon/rollouts.py
+++ b/rushweir/daemon/rollouts.py
@@ -191,9 +191,8 @@
         if book.version:
             try:
                 objects = [(key, data) for key, _, data in book.objects()]
-                config = live.assemble(self.path, objects, book.version)
                 self.between = self.files.load_between()
-                config = live.held(config, self.between)
+                config = live.assemble(self.path, objects, book.version, self.between)
             except (Refused, ValueError, TypeError) as problem:
                 self.log.event("error", "kept_settings_refused", version=book.version, why=str(problem)[:300])
                 self.core = self._watching(Kept())
--- a/tests/rollout/test_rollout_processes.py
+++ b/tests/rollout/test_rollout_processes.py
@@ -112,11 +112,15 @@
     async def body(s: Site) -> None:
         await s.up("door-a", "door-b", numbers={"door-a": (0, 2), "door-b": (1, 2)})
         await s.start("door-a", "door-b")
-        first = await s.first()
+        await s.first()
         await s.serving("door-a", "door-b")
+        capped = partner(0).replace(b"wide", b"capped")
+        plan = b"rate 100/s\nburst 100\nceiling-rate 50/s\nceiling-burst 50\n"
+        first = await s.change(("plan", "capped", plan), ("partner", "p0", capped))
+        await s.in_force(first, "door-a", "door-b")
         await s.seen(0, lambda rows: {r["acts"] for r in rows.values()} == {first} and len(rows) == 2)
         await s.kill("door-b")
-        moved = await s.change(("partner", "p0", partner(0, "through 1 1\n")))
+        moved = await s.change(("partner", "p0", capped + b"through 1 1\n"))
         await s.in_force(moved, "door-a")
         assert (await s.status("door-a"))["rollout"]["held_down"] == 1
         await s.seen(0, lambda rows: rows["door-a"]["acts"] == moved)  # on its disk
