--- a/benchmarks/settings_change.py
+++ b/benchmarks/settings_change.py
@@ -5,7 +5,7 @@
 long the main thread, which stands for the loop, was held at worst while another thread read, as far as that one ran
 meanwhile: what other processes of a busy machine take is not counted.
 
-    python -m benchmarks.settings_change [--partners 1000,4000,16000] [--routes 9300] [--json FILE]
+    .venv/bin/python -m benchmarks.settings_change [--partners 1000,4000,16000] [--routes 9300] [--json FILE]
 """
 
 from __future__ import annotations
--- a/rushweir/lab/scale/children.py
+++ b/rushweir/lab/scale/children.py
@@ -53,7 +53,9 @@
             raise ChildFailed(f"the process of the {self.name} ended")
         self.tell({"do": do, "number": self.serial, **more})
         try:
-            return await asyncio.wait_for(future, ANSWER_S)
+            # Not wait_for: it takes a cancel that comes with the answer for none, and Ctrl-C was lost (Python 3.11).
+            async with asyncio.timeout(ANSWER_S):
+                return await future
         except TimeoutError:
             raise ChildFailed(f"the {self.name} gave no answer to {do} within {ANSWER_S:g} s") from None
 
@@ -96,7 +98,8 @@
         self.say(f"process {process.pid} {name}")
         child.tell(first)
         try:
-            line = await asyncio.wait_for(process.stdout.readline(), START_S)
+            async with asyncio.timeout(START_S):
+                line = await process.stdout.readline()
         except TimeoutError:
             line = b""
         if not line:
--- a/tests/lab/test_pure.py
+++ b/tests/lab/test_pure.py
@@ -178,8 +178,9 @@
 
 
 def test_routes_are_all_found_and_their_rules_take_memory_in_proportion():
-    found = told("costs", (50, 100, 200, 400))
-    assert 0.7 < grows(found["memory_of_rules"]) < 1.2
+    # All above the hundred areas that routes lie in: below, each route brings an area of its own along.
+    found = told("costs", (400, 800, 1_600, 3_200))
+    assert 0.8 < grows(found["memory_of_rules"]) < 1.2
 
 
 def test_a_request_that_is_refused_is_no_measure_of_one(monkeypatch: pytest.MonkeyPatch):
