The scene of a killed leader begins once the other process has heard of it

Seen once in a full run on a busy machine: no change was confirmed. Cause: the test asked a process that had not heard of the leader yet, which refuses at once; the leader's own answers were lost with it. Change: the scene waits until that process names the leader; its assertions are as before.

--- a/tests/rollout/test_control_processes.py
+++ b/tests/rollout/test_control_processes.py
@@ -27,6 +27,8 @@
 async def the_leader_is_killed_in_the_middle(s: Stage) -> None:
     leader = await s.line(ALL, "leads")
     other, marks = (leader + 1) % 3, s.marks()
+    while (await s.ask(other, "status"))["leader"] != leader:  # it has to hear of it first, or refuses all
+        await s.more()
     asked = {n: await s.proposing(leader if n % 2 else other, f"p{n}", b"%d" % n) for n in range(40)}
     for n in range(0, 40, 4):
         await asked[n]
