Timed roles in rounds over their sizes; what is only counted is played beside others

Seen: sizes of roles measured by calls came one after the other, so that a busy moment hurt one size alone (in_rounds was there, and the runner did not use it); events were played in processes, everything else in a row. Now order.py says the order: what no clock of the machine is in (a role's counted part) is played in processes of its own, the largest sizes first; what is timed runs alone, sizes in turn, three rounds, medians.

--- a/rushweir/lab/scale/pure_mail.py
+++ b/rushweir/lab/scale/pure_mail.py
@@ -27,6 +27,7 @@
 SENT_MS, SERVED_MS = 1.0, 20.0
 HEADS = 28  # bytes of an IPv4 and a UDP head
 WARM_MS, COUNT_MS = 1_000.0, 1_000.0
+TIMED_MS = 500.0  # and as long before it, untimed
 BACKENDS = 100
 UNBOUNDED = 1e7
 QUOTA = 2.0  # times a tenant's mean
@@ -119,16 +120,15 @@
         )  # fmt: skip
 
 
-def mail(size: int) -> Iterator[Sample]:
-    """Messages and bytes a second of each ingress, wanted and sent, and what the whole costs in processor time."""
+def counted(size: int) -> Iterator[Sample]:
+    """Messages and bytes a second of each ingress, wanted and sent."""
     role, by = "quota_mail", "ingresses"
     seconds = COUNT_MS / 1000
     for name, allowed in (("wanted", UNBOUNDED), ("sent", ALLOWED)):
         fleet = Fleet(size, allowed)
         fleet.run(WARM_MS)
-        fleet.counting, began = True, time.process_time()
+        fleet.counting = True
         fleet.run(WARM_MS + COUNT_MS)
-        spent = time.process_time() - began
         of_each = size * seconds
         for figure, unit, value in (
             (f"{name}_datagrams", "1/s", fleet.messages / of_each),
@@ -136,14 +136,26 @@
             (f"{name}_refused_share", "1", fleet.refused / fleet.requests),
             (f"{name}_refused_by_quota_share", "1", fleet.by_quota / fleet.requests),
             (f"{name}_by_even_part_share", "1", fleet.even / fleet.requests),
-            (f"{name}_mail_cpu", "ms/s", fleet.mail_s / of_each * 1e3),
-            (f"{name}_cpu", "ms/s", spent / of_each * 1e3),
         ):
             yield Sample(role, figure, unit, by, size, value, "simulated", seconds)
         waits = sum(len(p.quota.mail.waiting) for p in fleet.policies) / size
         yield Sample(role, f"{name}_peers_that_wait", "1", by, size, waits, "simulated")
 
 
+def timed(size: int) -> Iterator[Sample]:
+    """What the mail that is allowed costs in processor time, and all else with it. For a shorter time than the counts
+    are of: it is played several times over, and each message is timed."""
+    role, by, seconds = "quota_mail", "ingresses", TIMED_MS / 1000
+    fleet = Fleet(size, ALLOWED)
+    fleet.run(TIMED_MS)
+    fleet.counting, began = True, time.process_time()
+    fleet.run(2 * TIMED_MS)
+    spent = time.process_time() - began
+    for figure, value in (("sent_mail_cpu", fleet.mail_s), ("sent_cpu", spent)):
+        yield Sample(role, figure, "ms/s", by, size, value / (size * seconds) * 1e3, "simulated", seconds)
+
+
 ROLES = (
-    Role("quota_mail", "Quota mail of an ingress at 143 requests a second", "ingresses", (10, 25, 50, 100), mail),
-)
+    Role("quota_mail", "Quota mail of an ingress at 143 requests a second", "ingresses", (10, 25, 50, 100), timed,
+         counted),
+)  # fmt: skip
--- a/rushweir/lab/scale/pure_measure.py
+++ b/rushweir/lab/scale/pure_measure.py
@@ -1,8 +1,7 @@
 """How the pure roles measure: processor time of calls, memory of what is built, and what a fresh process says.
 
 Processor time is ``time.process_time``: a busy machine hurts it less than a clock on the wall. Of several repeats the
-median counts. ``in_rounds`` takes the sizes of a role in turn, several times over, so that what else runs meanwhile
-hurts all sizes alike.
+median counts; the runner takes the sizes of these roles in turn, several times over (order.py).
 """
 
 from __future__ import annotations
@@ -13,12 +12,12 @@
 import sys
 import time
 import tracemalloc
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from typing import Any
 
 import orjson
 
-from rushweir.lab.scale.samples import Role, Sample
+from rushweir.lab.scale.samples import Role
 
 ROLES: tuple[Role, ...] = ()  # none of its own
 CHILD_S = 300.0  # a child that takes longer is ended
@@ -68,20 +67,3 @@
     if done.returncode:
         raise RuntimeError(f"{module}: {done.stderr.decode()[-400:]}")
     return orjson.loads(done.stdout)
-
-
-def in_rounds(role: Role, sizes: Iterable[int] = (), rounds: int = 3) -> list[Sample]:
-    """A role at its sizes in turn, ``rounds`` times over; of each figure at each size the median."""
-    sizes = tuple(sizes) or role.sizes
-    found: dict[tuple[str, str, int], list[Sample]] = {}
-    for _ in range(rounds):
-        for size in sizes:
-            for s in role.measure(size):
-                found.setdefault((s.role, s.figure, s.size), []).append(s)
-    return [_median(samples) for samples in found.values()]
-
-
-def _median(samples: list[Sample]) -> Sample:
-    s = samples[0]
-    value = statistics.median(x.value for x in samples)
-    return Sample(s.role, s.figure, s.unit, s.by, s.size, value, s.how, sum(x.seconds for x in samples))
--- a/rushweir/lab/scale/registry.py
+++ b/rushweir/lab/scale/registry.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterator
+from dataclasses import replace
 from importlib import import_module
 
 from rushweir.lab.scale.bounds import Need
@@ -16,7 +17,7 @@
     "event_roles",
     "rollout_roles",
 )  # fmt: skip
-# Measured by calls in one process.
+# Measured by calls in one process, or by processes that are there for one call.
 PURE = (
     "pure_policy",
     "pure_mail",
@@ -27,6 +28,7 @@
     "pure_watch",
     "pure_settings",
 )  # fmt: skip
+ROUNDS = 3  # of these: a busy moment of the machine then hurts one value of three, which the median drops
 
 
 def needs(wanted: list[tuple[str, int]]) -> Iterator[tuple[str, int, Need]]:
@@ -51,5 +53,5 @@
         for role in import_module(f"{HERE}.{name}").ROLES:
             if role.name in found:
                 raise ValueError(f"two roles have the name {role.name}")
-            found[role.name] = role
+            found[role.name] = replace(role, rounds=ROUNDS) if name in PURE else role
     return found
--- a/rushweir/lab/scale/runner.py
+++ b/rushweir/lab/scale/runner.py
@@ -13,8 +13,9 @@
 import orjson
 
 from rushweir.files import replace_file
-from rushweir.lab.scale import bounds
+from rushweir.lab.scale import beside, bounds, order
 from rushweir.lab.scale.bounds import DoesNotFit
+from rushweir.lab.scale.children import ChildFailed
 from rushweir.lab.scale.registry import needs, preparers
 from rushweir.lab.scale.samples import Role, Sample
 
@@ -43,21 +44,34 @@
             bounds.fits(need, machine)
         except DoesNotFit as problem:
             raise DoesNotFit(f"{name} at {size}: {problem}") from None
-    for prepare in preparers():
-        prepare(wanted, say)
     samples: list[Sample] = []
     failed: list[str] = []
+
+    def fails(name: str, size: int, why: str) -> None:
+        failed.append(f"{name} at {size}: {why}")
+        say(f"failed: {failed[-1]}")
+
+    counted = beside.play(order.beside(roles, sizes), say)
+    for prepare in preparers():
+        prepare(wanted, say)
     for role in roles:
-        found: list[Sample] = []
-        for size in sizes or role.sizes:
-            say(f"{role.name}: {size} {role.by}")
+        rounds = order.Rounds(role, sizes)
+        for size in rounds.sizes if role.counted is not None else ():
+            match counted[role.name, size]:
+                case ChildFailed() as problem:
+                    fails(role.name, size, f"ChildFailed: {problem}")
+                case found:
+                    rounds.found += found
+        for n, size in rounds:
+            say(f"{role.name}: {size} {role.by}" + (f", round {n + 1} of {role.rounds}" if role.rounds > 1 else ""))
             try:
-                found += role.measure(size)
+                rounds.found += role.measure(size)
             except DoesNotFit:
                 raise
             except Exception as problem:  # noqa: BLE001 - whatever one role raised, the others are measured
-                failed.append(f"{role.name} at {size}: {type(problem).__name__}: {problem}")
-                say(f"failed: {failed[-1]}")
+                rounds.failed.add(size)
+                fails(role.name, size, f"{type(problem).__name__}: {problem}")
+        found = rounds.samples()
         samples += found
         for line in table(role, found):
             say(line)
--- a/rushweir/lab/scale/worker.py
+++ b/rushweir/lab/scale/worker.py
@@ -1,4 +1,4 @@
-"""Processes of the scale run: hollow ingresses, real ones, backends, the list, clients, a simulated event.
+"""Processes of the scale run: hollow ingresses, real ones, backends, the list, clients, what is only counted.
 
 Commands come as JSON lines on standard input, answers go out as lines with the command's number, news without one.
 The end of the input ends the process and all that it started: it comes also where the parent was killed.
@@ -14,7 +14,7 @@
 import threading
 import time
 from collections.abc import AsyncIterator
-from dataclasses import replace
+from dataclasses import asdict, replace
 from pathlib import Path
 from typing import Any
 
@@ -212,9 +212,9 @@
     os._exit(0)
 
 
-def simulate(first: dict[str, Any]) -> None:
-    """An event on virtual clocks, on the main thread; the input is watched by another."""
-    from rushweir.lab.scale.events import play
+def count(first: dict[str, Any]) -> None:
+    """What is only counted of a role at a size, on the main thread; the input is watched by another."""
+    from rushweir.lab.scale.registry import roles
 
     def watch() -> None:
         while sys.stdin.buffer.readline():
@@ -223,7 +223,10 @@
 
     threading.Thread(target=watch, daemon=True).start()
     say(ready=True)
-    say(number=0, samples=play(first["event"], first["size"], first["seed"]))
+    try:
+        say(samples=[asdict(s) for s in roles()[first["role"]].counted(first["size"])])
+    except Exception as problem:  # noqa: BLE001 - whatever it is, it is told and named there
+        say(failed=f"{type(problem).__name__}: {problem}")
     os._exit(0)
 
 
@@ -240,8 +243,8 @@
         from rushweir.lab.scale.plants import plant
 
         plant(planted)
-    if sys.argv[1] == "simulate":
-        simulate(first)
+    if sys.argv[1] == "count":
+        count(first)
     else:
         asyncio.run(KINDS[sys.argv[1]](first))
 
--- a/tests/lab/scale/test_runner.py
+++ b/tests/lab/scale/test_runner.py
@@ -75,6 +75,12 @@
     assert all(len(set(r.sizes)) >= 4 and r.name == name for name, r in roles.items())
 
 
+def test_all_roles_measured_by_calls_are_taken_in_rounds():
+    roles = registry.roles()
+    assert {"decisions", "newcomer", "list_alone", "settings_alone"} <= {n for n, r in roles.items() if r.rounds == 3}
+    assert {roles[n].rounds for n in ("ingress", "rate", "request", "settings_burst")} == {1}
+
+
 def test_two_roles_of_one_name_are_refused(monkeypatch):
     monkeypatch.setattr(registry, "MODULES", ("roles", "roles"))
     with pytest.raises(ValueError, match="two roles have the name ingress"):
--- a/tests/lab/test_pure.py
+++ b/tests/lab/test_pure.py
@@ -25,7 +25,7 @@
     pure_settings,
     pure_watch,
 )
-from rushweir.lab.scale.samples import Role, Sample
+from rushweir.lab.scale.samples import Role
 
 MODULES = (pure_costs, pure_counter, pure_list, pure_mail, pure_policy, pure_pool, pure_settings, pure_watch)
 SMALL = (10, 20, 40, 80)
@@ -50,8 +50,9 @@
 def told(name: str, sizes: Iterable[int] = SMALL) -> dict[str, dict[int, float]]:
     """Values by figure and size."""
     out: dict[str, dict[int, float]] = {}
+    of = role(name)
     for size in sizes:
-        for s in role(name).measure(size):
+        for s in (s for part in (of.counted, of.measure) if part is not None for s in part(size)):
             assert (s.role, s.size) == (name, size) and s.value >= 0 and s.unit in UNITS and s.by in BY
             out.setdefault(s.figure, {})[size] = s.value
     return out
@@ -132,6 +133,7 @@
 def test_the_role_of_mail_tells_what_is_wanted_and_what_is_sent(monkeypatch: pytest.MonkeyPatch):
     monkeypatch.setattr(pure_mail, "WARM_MS", 300.0)
     monkeypatch.setattr(pure_mail, "COUNT_MS", 500.0)
+    monkeypatch.setattr(pure_mail, "TIMED_MS", 200.0)
     found = told("quota_mail", (6, 12))
     for size in (6, 12):
         assert 59 <= found["sent_datagrams"][size] <= 62 < found["wanted_datagrams"][size]
@@ -246,18 +248,6 @@
     assert gc.isenabled()
 
 
-def test_rounds_take_the_sizes_in_turn_and_give_medians():
-    asked: list[int] = []
-
-    def measure(size: int) -> list[Sample]:
-        asked.append(size)
-        return [Sample("r", "f", "s", "ingresses", size, float(size * len(asked)), "core", 1.0)]
-
-    found = pure_measure.in_rounds(Role("r", "", "ingresses", (1, 2, 3, 4), measure), rounds=3)
-    assert asked == [1, 2, 3, 4] * 3
-    assert [(s.size, s.value, s.seconds) for s in found] == [(1, 5, 3), (2, 12, 3), (3, 21, 3), (4, 32, 3)]
-
-
 def test_only_what_a_call_left_is_counted_as_its_memory():
     kept, size = pure_measure.traced(lambda: [bytes(1_000_000), len([0] * 500_000)][:1])
     assert len(kept) == 1 and 1_000_000 <= size < 1_100_000
