--- a/rushweir/lab/scale/pure_counter.py
+++ b/rushweir/lab/scale/pure_counter.py
@@ -54,11 +54,15 @@
     return counted * 1000 / COUNT_MS
 
 
-def counter(size: int) -> Iterator[Sample]:
+def counted(size: int) -> Iterator[Sample]:
     role, by = "counter", "ingresses"
     calls = calls_each_s(size)
     yield Sample(role, "calls", "1/s", by, size, calls, "simulated", COUNT_MS / 1000)
     yield Sample(role, "calls_at_the_counter", "1/s", by, size, calls * size, "simulated", COUNT_MS / 1000)
+
+
+def timed(size: int) -> Iterator[Sample]:
+    role, by = "counter", "ingresses"
     client = CounterClient("ws://127.0.0.1:9/counter", {}, 1, 50.0, lambda _: 1, lambda *_: None)
     numbers = itertools.count()
     client.link.state = OPEN
@@ -76,4 +80,6 @@
     yield Sample(role, "call_bytes", "B", by, size, both, "core")
 
 
-ROLES = (Role("counter", "The shared counter, by ingresses that call it", "ingresses", (3, 25, 100, 700), counter),)
+ROLES = (
+    Role("counter", "The shared counter, by ingresses that call it", "ingresses", (3, 25, 100, 700), timed, counted),
+)
--- a/rushweir/lab/scale/pure_watch.py
+++ b/rushweir/lab/scale/pure_watch.py
@@ -90,12 +90,15 @@
     core, ops = ingress(size, BACKENDS)
     yield from looked(role, by, size, core, ops, ("status", "partners", "overview", "settings"))
     yield from pages(role, by, size, ops, ("/", "/partners", "/settings"))
-    known = core.setup.partners()
-    _, memory = traced(lambda: Watch(0.0, known, {"quick": 800.0, "usual": 1_200.0}))
-    yield Sample(role, "memory", "MB", by, size, memory / 1e6, "core")
     yield Sample(role, "log_line_cpu", "us", by, size, cpu(lambda: _lines(size), 3) / LINES * 1e6, "core")
 
 
+def memory_by_partners(size: int) -> Iterator[Sample]:
+    known = ingress(size, BACKENDS)[0].setup.partners()
+    _, memory = traced(lambda: Watch(0.0, known, {"quick": 800.0, "usual": 1_200.0}))
+    yield Sample("watch", "memory", "MB", "partners", size, memory / 1e6, "core")
+
+
 def _lines(partners: int) -> None:
     """Lines of requests that failed, each of some partner."""
     log = Log(_Nowhere(), lambda: 1.0, Limiter(1e9, 1e9), "json", "info")
@@ -123,6 +126,6 @@
 
 ROLES = (
     Role("watch", "Metrics, console, log and operators' socket, by partners", "partners",
-         (1_000, 2_000, 4_000, 8_000, 16_000), by_partners),
+         (1_000, 2_000, 4_000, 8_000, 16_000), by_partners, memory_by_partners),
     Role("watch_nodes", "Metrics, console and operators' socket, by backends", "backends", LISTS, by_backends),
 )  # fmt: skip
