--- a/rushweir/lab/scale/beside.py
+++ b/rushweir/lab/scale/beside.py
@@ -25,20 +25,21 @@
         async def one(name: str, size: int) -> None:
             async with cores:
                 try:
-                    found[name, size] = await _play(children, name, size)
+                    found[name, size] = await _play(children, name, size, say)
                 except ChildFailed as problem:
                     found[name, size] = problem
                     return
-                say(f"{name}: {size} counted")
+                say(f"{name}: {size}, counted")
 
         await asyncio.gather(*(one(*x) for x in wanted))  # a semaphore's turns are in the order of asking
     return found
 
 
-async def _play(children: Children, name: str, size: int) -> list[Sample]:
+async def _play(children: Children, name: str, size: int, say: Callable[[str], None]) -> list[Sample]:
     """One role at one size. Raises ChildFailed."""
     told: asyncio.Future[dict] = asyncio.get_running_loop().create_future()
     child = await children.start("count", {"role": name, "size": size}, told.set_result)
+    say(f"{name}: {size}, counting")
     ending = asyncio.ensure_future(child.ended.wait())
     await asyncio.wait([told, ending], timeout=PLAY_S, return_when=asyncio.FIRST_COMPLETED)
     ending.cancel()
