--- a/tests/lab/scale/test_events.py
+++ b/tests/lab/scale/test_events.py
@@ -2,9 +2,13 @@
 
 from __future__ import annotations
 
+import random
+from collections import deque
+
 import pytest
 
 from rushweir.lab.scale import events
+from rushweir.lab.sim.world import World
 
 
 def figures(event: str, size: int) -> dict[str, float]:
@@ -41,3 +45,32 @@
     found = figures("lost", 6)
     assert found["back_in_time"] == 0.0 and found["back"] == 8.0
     assert found["working_least"] == pytest.approx(5 / 6)
+
+
+class Sleeper:
+    """Has something to do again and again, and hears from nobody."""
+
+    def __init__(self, now: float) -> None:
+        self.orders, self.rng, self.at, self.turns = deque(), random.Random(now), now, 0
+
+    def start(self, now: float) -> None: ...
+
+    def next_at(self) -> float:
+        return self.at
+
+    def advance(self, now: float) -> None:
+        assert now >= self.at
+        self.turns += 1
+        self.at = now + self.rng.uniform(1.0, 100.0)
+
+
+@pytest.mark.parametrize(("kind", "all_of_them"), [(events.Counting, True), (World, False)])
+def test_a_process_that_nobody_sends_to_is_woken_for_as_long_as_it_runs(kind, all_of_them):
+    """In the world without the mend a wake is lost now and then, and with it the process. (Only early in a day: from
+    half of a time on, what is left until then is exact.)"""
+    world, count = kind(1), 2_000
+    for k in range(count):
+        world.later(world.rng.uniform(0.0, 200.0), world.start, k, lambda now, kept: Sleeper(now), 1.0003)
+    world.run(2_000.0)
+    woken = sum(p.core.turns > 20 for p in world.at.values())
+    assert (woken == count) is all_of_them, woken
