The real ingress of settings_served ends with its run, also where that is killed

Seen by reading: Served started 'rushweir serve' by itself, and only its own end() ended it, so that a killed run left it behind; all others hang on a worker's input. Now a worker keeps it, as those of the fleets; the worker's exit code says whether its ingresses ended by themselves and well, so the old test still asks for that. Test: who measures gets SIGINT or SIGKILL, and keeper and ingress are over.

--- a/rushweir/lab/scale/pure_settings.py
+++ b/rushweir/lab/scale/pure_settings.py
@@ -7,7 +7,6 @@
 
 import json
 import os
-import re
 import selectors
 import signal
 import subprocess
@@ -20,15 +19,16 @@
 from pathlib import Path
 from typing import Any
 
+import orjson
+
 from rushweir.cli.ask import Daemon
 from rushweir.lab.scale.pure_measure import child, resident
 from rushweir.lab.scale.samples import Role, Sample
-from rushweir.lab.stage import free_port
+from rushweir.lab.stage import LISTENS, free_port
 
 FEW = 10  # partners of the settings that the others are compared with
 START_S, RELOAD_S, END_S = 60.0, 120.0, 15.0
 STEP_S = 0.02  # how often a process is looked at
-LISTENS = re.compile(rb"ingress \d+ listens on ")
 HEAD = """\
 ingress 0 1
 zone a
@@ -99,29 +99,34 @@
 
 
 class Served:
-    """A real ingress as a process, alone; started and ended here, by its own handle."""
+    """A real ingress as a process, alone, kept by a worker of the scale run: it ends when that one's input does, so
+    also where this process was killed."""
 
     def __init__(self, folder: Path, partners: int) -> None:
         self.file, self.partners, self.port = folder / "main.conf", partners, free_port()
         self.listed, self.control = free_port(), folder / "run.sock"
         self.write(False)
-        self.errors = open(folder / "errors.txt", "wb")  # noqa: SIM115 - closed in ``end``
-        self.process = subprocess.Popen(
-            [sys.executable, "-m", "rushweir", "serve", "--log", "json", str(self.file)],
-            stdout=subprocess.PIPE, stderr=self.errors,
+        errors = folder / "errors.txt"
+        self.keeper = subprocess.Popen(
+            [sys.executable, "-m", "rushweir.lab.scale.worker", "reals"],
+            stdin=subprocess.PIPE, stdout=subprocess.PIPE, bufsize=0,  # so that no line lies read where nobody looks
         )  # fmt: skip
-        self.pid = self.process.pid
-        if not self._listens():
+        self.keeper.stdin.write(orjson.dumps({"files": [str(self.file)], "errors": str(errors)}) + b"\n")
+        self.pid = self._told().get("ready", [0])[0]
+        if not LISTENS.search(self._told().get("listens", "")):
             self.end()
-            raise RuntimeError(f"the ingress did not start: {(folder / 'errors.txt').read_text()[-400:]}")
+            why = errors.read_text()[-400:] if errors.exists() else "its keeper ended"
+            raise RuntimeError(f"the ingress did not start: {why}")
 
     def write(self, changed: bool) -> None:
         self.file.write_text(settings_text(self.partners, self.port, self.listed, changed=changed))
 
-    def _listens(self) -> bool:
+    def _told(self) -> dict[str, Any]:
+        """The next line of its keeper, or nothing."""
         with selectors.DefaultSelector() as waits:
-            waits.register(self.process.stdout, selectors.EVENT_READ)
-            return bool(waits.select(START_S)) and bool(LISTENS.search(self.process.stdout.readline()))
+            waits.register(self.keeper.stdout, selectors.EVENT_READ)
+            line = self.keeper.stdout.readline() if waits.select(START_S) else b""
+        return orjson.loads(line) if line else {}
 
     def cpu(self) -> float:
         """Seconds of processor time that the process has spent so far."""
@@ -146,14 +151,14 @@
         raise RuntimeError("the ingress did not take the change")
 
     def end(self) -> None:
-        self.process.terminate()
+        """Its keeper ends it, by force if it must."""
+        self.keeper.stdin.close()
         try:
-            self.process.wait(END_S)
+            self.keeper.wait(END_S)
         except subprocess.TimeoutExpired:
-            self.process.kill()
-            self.process.wait()
-        self.process.stdout.close()
-        self.errors.close()
+            self.keeper.kill()
+            self.keeper.wait()
+        self.keeper.stdout.close()
 
 
 def _served(size: int) -> dict[str, Any]:
--- a/rushweir/lab/scale/worker.py
+++ b/rushweir/lab/scale/worker.py
@@ -135,6 +135,8 @@
                 await process.wait()
         for task in waiting:
             task.cancel()
+    if any(p.returncode for p in started):
+        sys.exit(1)  # one did not end by itself, or not well
 
 
 def real_figures(pid: int) -> dict[str, Any]:
--- a/tests/lab/scale/test_processes.py
+++ b/tests/lab/scale/test_processes.py
@@ -78,6 +78,44 @@
         asyncio.run(main(folder))
 
 
+KEPT = """
+import sys, time
+from pathlib import Path
+from rushweir.lab.scale.pure_settings import Served
+Served(Path(sys.argv[1]), 3)
+print("up", flush=True)
+time.sleep(600)
+"""
+
+
+@pytest.mark.parametrize("sign", [signal.SIGINT, signal.SIGKILL])
+def test_a_real_ingress_alone_does_not_outlive_who_measures_it(tmp_path: Path, sign: signal.Signals):
+    async def main() -> None:
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, "-c", KEPT, str(tmp_path),
+            stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.DEVNULL,
+            preexec_fn=lambda: signal.signal(signal.SIGINT, signal.SIG_DFL),
+        )  # fmt: skip
+        try:
+            async with asyncio.timeout(120):
+                assert await process.stdout.readline() == b"up\n"
+            pids = below(process.pid)
+            assert len(pids) == 2, pids  # its keeper, and itself
+            watched = [os.pidfd_open(pid) for pid in pids]
+            process.send_signal(sign)
+            async with asyncio.timeout(60):
+                await process.wait()
+                await asyncio.gather(*(ended(x) for x in watched))
+            for x in watched:
+                os.close(x)
+        finally:
+            if process.returncode is None:
+                process.kill()
+                await process.wait()
+
+    asyncio.run(main())
+
+
 def test_a_size_that_does_not_fit_is_refused_before_anything_starts():
     async def main() -> None:
         process = await asyncio.create_subprocess_exec(
