--- a/rushweir/lab/scale/pure_settings.py
+++ b/rushweir/lab/scale/pure_settings.py
@@ -7,7 +7,6 @@
 
 import json
 import os
-import re
 import selectors
 import signal
 import subprocess
@@ -15,19 +14,21 @@
 import tempfile
 import time
 from collections.abc import Iterator
+from functools import cache
 from hashlib import sha256
 from pathlib import Path
 from typing import Any
 
+import orjson
+
 from rushweir.cli.ask import Daemon
 from rushweir.lab.scale.pure_measure import child, resident
 from rushweir.lab.scale.samples import Role, Sample
-from rushweir.lab.stage import free_port
+from rushweir.lab.stage import LISTENS, free_port
 
 FEW = 10  # partners of the settings that the others are compared with
 START_S, RELOAD_S, END_S = 60.0, 120.0, 15.0
 STEP_S = 0.02  # how often a process is looked at
-LISTENS = re.compile(rb"ingress \d+ listens on ")
 HEAD = """\
 ingress 0 1
 zone a
@@ -98,29 +99,34 @@
 
 
 class Served:
-    """A real ingress as a process, alone; started and ended here, by its own handle."""
+    """A real ingress as a process, alone, kept by a worker of the scale run: it ends when that one's input does, so
+    also where this process was killed."""
 
     def __init__(self, folder: Path, partners: int) -> None:
         self.file, self.partners, self.port = folder / "main.conf", partners, free_port()
         self.listed, self.control = free_port(), folder / "run.sock"
         self.write(False)
-        self.errors = open(folder / "errors.txt", "wb")  # noqa: SIM115 - closed in ``end``
-        self.process = subprocess.Popen(
-            [sys.executable, "-m", "rushweir", "serve", "--log", "json", str(self.file)],
-            stdout=subprocess.PIPE, stderr=self.errors,
+        errors = folder / "errors.txt"
+        self.keeper = subprocess.Popen(
+            [sys.executable, "-m", "rushweir.lab.scale.worker", "reals"],
+            stdin=subprocess.PIPE, stdout=subprocess.PIPE, bufsize=0,  # so that no line lies read where nobody looks
         )  # fmt: skip
-        self.pid = self.process.pid
-        if not self._listens():
+        self.keeper.stdin.write(orjson.dumps({"files": [str(self.file)], "errors": str(errors)}) + b"\n")
+        self.pid = self._told().get("ready", [0])[0]
+        if not LISTENS.search(self._told().get("listens", "")):
             self.end()
-            raise RuntimeError(f"the ingress did not start: {(folder / 'errors.txt').read_text()[-400:]}")
+            why = errors.read_text()[-400:] if errors.exists() else "its keeper ended"
+            raise RuntimeError(f"the ingress did not start: {why}")
 
     def write(self, changed: bool) -> None:
         self.file.write_text(settings_text(self.partners, self.port, self.listed, changed=changed))
 
-    def _listens(self) -> bool:
+    def _told(self) -> dict[str, Any]:
+        """The next line of its keeper, or nothing."""
         with selectors.DefaultSelector() as waits:
-            waits.register(self.process.stdout, selectors.EVENT_READ)
-            return bool(waits.select(START_S)) and bool(LISTENS.search(self.process.stdout.readline()))
+            waits.register(self.keeper.stdout, selectors.EVENT_READ)
+            line = self.keeper.stdout.readline() if waits.select(START_S) else b""
+        return orjson.loads(line) if line else {}
 
     def cpu(self) -> float:
         """Seconds of processor time that the process has spent so far."""
@@ -145,14 +151,14 @@
         raise RuntimeError("the ingress did not take the change")
 
     def end(self) -> None:
-        self.process.terminate()
+        """Its keeper ends it, by force if it must."""
+        self.keeper.stdin.close()
         try:
-            self.process.wait(END_S)
+            self.keeper.wait(END_S)
         except subprocess.TimeoutExpired:
-            self.process.kill()
-            self.process.wait()
-        self.process.stdout.close()
-        self.errors.close()
+            self.keeper.kill()
+            self.keeper.wait()
+        self.keeper.stdout.close()
 
 
 def _served(size: int) -> dict[str, Any]:
@@ -166,13 +172,19 @@
             one.end()
 
 
+@cache
+def few_served() -> float:
+    """Memory of one with few partners, once for all sizes: a busy machine does not change it."""
+    return _served(FEW)["memory"]
+
+
 def served(size: int) -> Iterator[Sample]:
     """A real ingress with so many partners beside one with ten; one partner changes."""
     role, by = "settings_served", "partners"
-    few, many = _served(FEW), _served(size)
+    few, many = few_served(), _served(size)
     for figure, unit, value in (
-        ("memory_more", "MB", (many["memory"] - few["memory"]) / 1e6),
-        ("memory_more_after_the_change", "MB", (many["after"] - few["memory"]) / 1e6),
+        ("memory_more", "MB", (many["memory"] - few) / 1e6),
+        ("memory_more_after_the_change", "MB", (many["after"] - few) / 1e6),
         ("cpu_of_one_change", "s", many["cpu"]),
         ("time_of_one_change", "s", many["took"]),
     ):
