An ingress's book holds its objects packed, and a start makes no list of all of them

Checked, by tracemalloc in a process that does the same: 16.3 MB of objects, 7.5 of them the book (keys and data as strings in 256 dicts), 8.8 the settings; the other 11 MB were free memory between objects that live on. Cause of these: live.assemble promised to read in pieces, and made a list of all (rollouts.begin) and then all pieces at once; with the file's 4.4 MB read whole. Ruled out: the size of a piece (64 to 1,000: 0.4 MB), the collector (nothing to collect).

Change: rollout/packed.py, a book whose parts are deflated rows with what changed loose above; a few parts are packed at a time, never while a change is applied. The shell walks through objects as they are unpacked, and maps the file. Safety is as before: same bytes on disk, same digests, whole objects at hand.

--- a/rushweir/config/live.py
+++ b/rushweir/config/live.py
@@ -18,6 +18,7 @@
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, replace
 from functools import lru_cache
+from itertools import chain, islice
 from typing import Any
 
 from rushweir.config import checks
@@ -35,7 +36,7 @@
 from rushweir.rollout.steps import Change, Key
 
 FEW = 128  # changed objects of a kind that are put in place one by one, within a turn
-PIECE = 1_000  # objects that a start reads at once
+PIECE = 250  # objects that a start reads at once
 MANY = ("partners", "costs")
 SHARED = frozenset((*NAMED, *SINGLE))
 
@@ -77,7 +78,7 @@
     path: Any, kept: Iterable[tuple[Key, bytes]], version: int, between: Between | None = None, seat: int = -1
 ) -> Config:
     """The settings of a start: the machine's own file, and the objects of a version, with what was ``between`` when
-    they were kept: not all may act on it yet. Raises ConfigError, Refused."""
+    they were kept: not all may act on it yet. ``kept`` is walked through twice. Raises ConfigError, Refused."""
     reading = Reading(text_of(path), str(path), path.parent, None, SHARED)
     if reading.problems or reading.file is None:
         raise reading.error()
@@ -85,11 +86,10 @@
     groups["partners"].held.everywhere = reading.file.ingress[1]
     config = Config(reading.file.model_copy(update=groups), path.parent, None, reading.spots, (path,), seat)
     config = replace(config, between=between or Between())
-    few, many = list[Change](), list[Change]()
-    for key, data in kept:
-        (many if path_of(key)[0] in MANY else few).append(Change(key, data))
+    few = [Change(key, data) for key, data in kept if path_of(key)[0] not in MANY]
+    many = (Change(key, data) for key, data in kept if path_of(key)[0] in MANY)
     # In pieces: what is read of an object before it is in its slot is larger than the slot.
-    for piece in (few, *(many[k : k + PIECE] for k in range(0, len(many), PIECE))):
+    for piece in chain([few], iter(lambda: list(islice(many, PIECE)), [])):
         config, deltas = told(config, piece, version)
         for g in MANY:
             groups[g].adopt(deltas[g])
--- a/rushweir/daemon/rollouts.py
+++ b/rushweir/daemon/rollouts.py
@@ -17,7 +17,8 @@
 import os
 import secrets
 import socket
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Awaitable, Callable, Iterator, Sequence
+from mmap import ACCESS_READ, mmap
 from pathlib import Path
 from typing import Any
 
@@ -31,10 +32,10 @@
 from rushweir.files import replace_file
 from rushweir.link.websocket import Messages, client_protocol
 from rushweir.rollout import kept as disk
-from rushweir.rollout.book import record, records
+from rushweir.rollout.book import Book, Data, record, records
 from rushweir.rollout.ceilings import Between
 from rushweir.rollout.kept import Append, Kept
-from rushweir.rollout.steps import Change
+from rushweir.rollout.steps import Change, Key
 from rushweir.rollout.watch_mail import MOST_MESSAGE
 from rushweir.rollout.watching import Apply, Keep, Note, Send, Watching
 from rushweir.rollout.watching_links import Connect, Disconnect
@@ -43,6 +44,33 @@
 MOST_UNSENT = 1_048_576  # bytes that wait in a connection; it says little, so more is a connection that is stuck
 
 
+# Books are read and written in memory that goes back to the system at once: among the objects that live on, a few MB
+# that were free again stayed with the process for good.
+
+
+@contextlib.contextmanager
+def mapped(path: Path) -> Iterator[Data | None]:
+    """A file's bytes; None: there is no file. Raises OSError."""
+    if not path.exists():
+        yield None
+    elif not path.stat().st_size:
+        yield b""
+    else:
+        with open(path, "rb") as file, mmap(file.fileno(), 0, access=ACCESS_READ) as data:
+            yield data
+
+
+@contextlib.contextmanager
+def snapshot(book: Book) -> Iterator[memoryview]:
+    """A book's bytes, as ``Book.dump``. Raises OSError."""
+    pages = sum(map(len, book.pages()))
+    with mmap(-1, pages) as room:
+        for page in book.pages():
+            room.write(page)
+        with memoryview(room) as data:
+            yield data
+
+
 class Files:
     """What is kept, in a folder that is locked."""
 
@@ -52,9 +80,10 @@
 
     def load(self) -> tuple[Kept, list[str]]:
         """Cuts a log behind its last whole record. Raises OSError."""
-        found = [p.read_bytes() if p.exists() else None for p in (self.book, self.log)]
-        kept, wrong, good = disk.load(*found)
-        if found[1] and good < len(found[1]):
+        with mapped(self.book) as book, mapped(self.log) as log:
+            kept, wrong, good = disk.load(book, log)
+            torn = log is not None and good < len(log)
+        if torn:
             os.truncate(self.log, good)
         if kept.book.version and good < len(disk.MAGIC):  # no log to write behind
             kept.failed()
@@ -79,10 +108,10 @@
                 waiting.append(order.what.data)
             else:
                 waiting.clear()  # the book has them
-                data = order.what.book.dump()
-                replace_file(self.book, data, 0o600)
+                with snapshot(order.what.book) as data:
+                    replace_file(self.book, data, 0o600)
+                    self.bytes += len(data) + len(disk.MAGIC)
                 replace_file(self.log, disk.MAGIC, 0o600)
-                self.bytes += len(data) + len(disk.MAGIC)
         if waiting:
             with open(self.log, "ab") as file:
                 file.write(b"".join(waiting))
@@ -91,6 +120,16 @@
             self.bytes += sum(map(len, waiting))
 
 
+class Objects:
+    """Those of a book, made as they are walked through: a list of all would be larger than what is made of them."""
+
+    def __init__(self, book: Book) -> None:
+        self.book = book
+
+    def __iter__(self) -> Iterator[tuple[Key, bytes]]:
+        return ((key, data) for key, _, data in self.book.objects())
+
+
 class Wire(asyncio.Protocol):
     """One connection to a control process."""
 
@@ -190,9 +229,8 @@
         book = self.core.book
         if book.version:
             try:
-                objects = [(key, data) for key, _, data in book.objects()]
                 self.between = self.files.load_between()
-                config = live.assemble(self.path, objects, book.version, self.between)
+                config = live.assemble(self.path, Objects(book), book.version, self.between)
             except (Refused, ValueError, TypeError) as problem:
                 self.log.event("error", "kept_settings_refused", version=book.version, why=str(problem)[:300])
                 self.core = self._watching(Kept())
--- a/rushweir/rollout/book.py
+++ b/rushweir/rollout/book.py
@@ -15,10 +15,11 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Collection, Iterable, Iterator
 from hashlib import blake2b
+from mmap import mmap
 from struct import Struct
-from typing import Any
+from typing import Any, Self
 from zlib import crc32
 
 import msgpack
@@ -35,6 +36,7 @@
 MOST_RECORD = 64 * 1_048_576  # bytes; a part of MOST_OBJECTS / PARTS objects of the largest size is 16 MiB
 WRAP = (1 << 8 * DIGEST) - 1
 
+Data = bytes | mmap  # a file's
 Row = tuple[str, bytes | None]  # a key as the book has it, and the object with its version; None: gone
 
 
@@ -70,6 +72,11 @@
     return int.from_bytes(h.digest(), "big")
 
 
+def bytes_of(text: str, held: bytes | None) -> int:
+    """What a row counts for in the book's size."""
+    return 0 if held is None else len(text) + len(held)
+
+
 def whole_digest(version: int, total: int) -> bytes:
     return blake2b(version.to_bytes(8, "big") + total.to_bytes(DIGEST, "big"), digest_size=DIGEST).digest()
 
@@ -79,7 +86,7 @@
     return HEAD.pack(len(data), crc32(data, len(data))) + data
 
 
-def records(data: bytes, at: int) -> Iterator[tuple[int, Any]]:
+def records(data: Data, at: int) -> Iterator[tuple[int, Any]]:
     """Each whole record from ``at`` on, and where it ends; ends before the first that is not whole."""
     while at + HEAD.size <= len(data):
         length, check = HEAD.unpack_from(data, at)
@@ -96,10 +103,11 @@
 class Book:
     """The objects at ``version``; 0 is the version of nothing."""
 
-    __slots__ = ("count", "floor", "gone", "parts", "sums", "total", "version")
+    __slots__ = ("count", "floor", "gone", "parts", "size", "sums", "total", "version")
 
     def __init__(self) -> None:
         self.version = self.count = self.total = self.floor = 0
+        self.size = 0  # bytes of all rows
         self.parts: list[dict[str, bytes]] = [{} for _ in range(PARTS)]
         self.sums = [0] * PARTS
         self.gone: dict[str, int] = {}  # by the version that dropped it, oldest first
@@ -185,7 +193,9 @@
         """As ``put``, where the sums of all parts at that version are known: nothing is digested again."""
         for text, held in rows:
             part = self.parts[part_of(text)]
-            self.count += (held is not None) - (text in part)
+            old = part.get(text)
+            self.count += (held is not None) - (old is not None)
+            self.size += bytes_of(text, held) - bytes_of(text, old)
             if held is None:
                 part.pop(text, None)
             else:
@@ -197,6 +207,7 @@
         """One object; ``version`` is that of its tombstone, where it is gone."""
         part = part_of(text)
         old = self.parts[part].get(text)
+        self.size += bytes_of(text, held) - bytes_of(text, old)
         if old is not None:
             self._add(part, -weight(text, old))
         if held is not None:
@@ -219,10 +230,31 @@
     def copy(self) -> Book:
         """As it is now; the objects' bytes are shared."""
         other = Book()
-        other.version, other.count, other.total, other.floor = self.version, self.count, self.total, self.floor
-        other.parts, other.sums, other.gone = [dict(p) for p in self.parts], list(self.sums), dict(self.gone)
+        self._copy_to(other)
+        other.parts = [dict(p) for p in self.parts]
         return other
 
+    @property
+    def crowded(self) -> bool:
+        """Whether ``fold`` should be called."""
+        return False
+
+    def fold(self) -> bool:
+        """Give back some memory, if there is any to give; whether there is more."""
+        return False
+
+    def _copy_to(self, other: Book) -> None:
+        """All but the objects."""
+        other.version, other.count, other.size = self.version, self.count, self.size
+        other.total, other.floor = self.total, self.floor
+        other.sums, other.gone = list(self.sums), dict(self.gone)
+
+    def _await(self, awaited: Collection[str]) -> None:
+        """These will change next."""
+
+    def _paged(self, number: int) -> None:
+        """A part was loaded."""
+
     # --- as bytes --------------------------------------------------------------------------------
 
     def pages(self) -> Iterator[bytes]:
@@ -238,11 +270,12 @@
         return b"".join(self.pages())
 
     @classmethod
-    def load(cls, data: bytes) -> Book:
-        """Raises BookError: torn, altered, of another format."""
+    def load(cls, data: Data, awaited: Collection[str] = ()) -> Self:
+        """``awaited``: objects that will change next. Raises BookError: torn, altered, of another format."""
         if data[: len(MAGIC)] != MAGIC:
             raise BookError("no book, or one of another version")
         book, at, ended = cls(), len(MAGIC), False
+        book._await(awaited)
         for end, payload in records(data, at):
             at = end
             try:
@@ -263,6 +296,7 @@
                 if part_of(text) != number:
                     raise ValueError(f"an object of another part in {number}")
                 self.set(text, 0, held)
+            self._paged(number)
         elif kind == "gone":
             self.gone = {str(text): int(version) for text, version in rest[0]}
         elif kind == "end":
--- a/rushweir/rollout/kept.py
+++ b/rushweir/rollout/kept.py
@@ -20,10 +20,12 @@
 from dataclasses import dataclass
 from typing import Any
 
-from rushweir.rollout.book import Book, BookError, Row, record, records, sound
+from rushweir.rollout.book import Book, BookError, Data, Row, record, records, sound
+from rushweir.rollout.packed import PackedBook
 
 MAGIC = b"RWLATER\x01"
 LOG_FROM = 1_048_576  # bytes of the log before the book is written anew
+ROWS = 3  # where they stand in a record
 MOST_APPEND = 524_288  # bytes of one record; beyond that the book is written anew instead
 
 
@@ -45,7 +47,7 @@
     """What is on disk, and what has to be written next."""
 
     def __init__(self, book: Book | None = None, log_bytes: int = 0, book_bytes: int = 0) -> None:
-        self.book = book or Book()
+        self.book = book or PackedBook()
         self.log_bytes, self.book_bytes = log_bytes, book_bytes
 
     def add(self, base: int, rows: list[Row]) -> list[Append | Rewrite]:
@@ -63,20 +65,20 @@
         self.book_bytes = 0
 
     def whole(self) -> Rewrite:
-        objects = sum(len(text) + len(held) for part in self.book.parts for text, held in part.items())
-        self.log_bytes, self.book_bytes = 0, max(1, objects)
+        self.log_bytes, self.book_bytes = 0, max(1, self.book.size)
         return Rewrite(self.book.copy())
 
 
-def load(book: bytes | None, log: bytes | None) -> tuple[Kept, list[str], int]:
+def load(book: Data | None, log: Data | None) -> tuple[Kept, list[str], int]:
     """What was kept, what was wrong with it, and how many bytes of the log are good: it is cut there before anything
     is written behind. With a book that is refused nothing is taken."""
     if book is None:
-        return Kept(), [] if not log or log == MAGIC else ["a log without its book is left out"], 0
+        return Kept(), [] if not log or log[: len(MAGIC) + 1] == MAGIC else ["a log without its book is left out"], 0
     try:
-        found = Book.load(book)
+        found = PackedBook.load(book, touched(log) if log else ())
     except BookError as problem:
         return Kept(), [f"kept settings: {problem}"], 0
+    found.awaited = ()
     wrong: list[str] = []
     good = 0
     if log:
@@ -86,9 +88,19 @@
     return Kept(found, good, len(book)), wrong, good
 
 
-def _replay(book: Book, log: bytes) -> tuple[int, str]:
+def touched(log: Data) -> set[str]:
+    """What a log names: each of its records would else look into a part of its own."""
+    found: set[str] = set()
+    for _, payload in records(log, len(MAGIC)):
+        if isinstance(payload, list) and len(payload) > ROWS and isinstance(payload[ROWS], list):
+            found.update(r[0] for r in payload[ROWS] if isinstance(r, list) and r and isinstance(r[0], str))
+    return found
+
+
+def _replay(book: Book, log: Data) -> tuple[int, str]:
     if log[: len(MAGIC)] != MAGIC:
-        return 0, "no log, or one of another version" if not MAGIC.startswith(log) else "torn at byte 0"
+        torn = MAGIC.startswith(log[: len(MAGIC) + 1])
+        return 0, "torn at byte 0" if torn else "no log, or one of another version"
     good = len(MAGIC)
     for end, payload in records(log, good):
         try:
--- a/rushweir/rollout/watching.py
+++ b/rushweir/rollout/watching.py
@@ -39,6 +39,7 @@
 RETRY_MS = (200.0, 3_200.0)  # before it asks again: at first, and at most
 STUCK_MS = 5_000.0  # behind what the beats tell, and nothing came: it asks again
 KEEP_MS = 10_000.0  # before a disk that failed is tried again
+FOLD_MS = 20.0  # between two parts of the book's memory that are packed
 MOST_BAD = 5  # messages in a row
 
 
@@ -101,10 +102,11 @@
         self.repairing = False
         self.bad = 0
         self.retry = RETRY_MS[0]
-        self.ask_at = self.keep_at = float("inf")
+        self.ask_at = self.keep_at = self.fold_at = float("inf")
         self.progress_at = self.acts_at = now
         self.told = -1  # the version that it said it acts on
         self.counts: Counter[str] = Counter()
+        self._crowded()
 
     @property
     def version(self) -> int:
@@ -165,6 +167,7 @@
             self.orders.append(Keep(what, version))
         self._say()
         self._apply()
+        self._crowded()
 
     def refused(self, now: float, version: int, key: Key, field: str, text: str) -> None:
         """None of the changes ordered last is acted on."""
@@ -176,6 +179,7 @@
         self._say_refused()
         if self.ahead.version > version:
             self._apply()
+        self._crowded()
 
     def kept(self, now: float, version: int) -> None:
         self.now, self.disk_why = now, ""
@@ -193,7 +197,7 @@
         self._say()
 
     def next_at(self) -> float:
-        due = min(self.links.next_at(), self.ask_at, self.keep_at)
+        due = min(self.links.next_at(), self.ask_at, self.keep_at, self.fold_at)
         if self._watching():
             due = min(due, self.acts_at)
             if self.head > self.ahead.version:
@@ -206,6 +210,11 @@
         if now >= self.keep_at:
             self.keep_at = float("inf")
             self.orders.append(Keep(self.kept_state.whole(), self.version))
+        if now >= self.fold_at:
+            self.fold_at = float("inf")
+            # Not while a change is applied: whoever does that may look into the book from beside the loop.
+            if self.ahead.applying is None and self.book.fold():
+                self.fold_at = now + FOLD_MS
         if not self._watching():
             return
         if now >= self.ask_at:
@@ -359,6 +368,10 @@
         assert self.links.main is not None
         self.orders.append(Send(self.links.main.conn, mail.write(method, fields, self.key)))
 
+    def _crowded(self) -> None:
+        if self.book.crowded:
+            self.fold_at = min(self.fold_at, self.now + FOLD_MS)
+
     def _apply(self) -> None:
         if self.ahead.applying is None and (self.ahead.version > self.version or self.ahead.rows):
             if self.refusal is not None and self.refusal.version == self.ahead.version:
