Who skips versions knows the doors of those between, or holds the partner down

Seen: three ingresses, a partner with a ceiling whose doors go from 0 to 1 and back to 0. Ingress 0 goes from version 1 to 3 at once and finds its doors as they were: it spends the whole. 1 and 2 act on 2, hear that all act on 2 or later, and spend the whole by it: two wholes, until they get 3. The same where both steps came one by one and the first was overtaken before it was applied, and where it was refused.

Checked: why it holds without a skip (each ingress knows the doors at each version from the one that all act on to its own, so there is one way that all know; the argument stands in rollout/ceilings.py), and that a skip is all that breaks it: 300 drawn courses of steps, differences, refusals and words that all act on a version.

Change: watching_ahead.py keeps what objects were that are overtaken before they are applied, bounded, over a refusal too; of a difference over several versions it is not known. live.told puts these doors between the others, and NOBODY for what is not known: such a partner is held down until all act on the version.

--- a/rushweir/config/live.py
+++ b/rushweir/config/live.py
@@ -33,12 +33,14 @@
 from rushweir.ingress.asks import Partner
 from rushweir.ingress.core import Core
 from rushweir.ingress.websocket import Setup
-from rushweir.rollout.ceilings import Between, Doors, SlotError, acting
+from rushweir.rollout.ceilings import NOBODY, Between, Doors, SlotError, acting
 from rushweir.rollout.steps import Change, Key
 
 FEW = 128  # changed objects of a kind that are put in place one by one, within a turn
 PIECE = 250  # objects that a start reads at once
 MANY = ("partners", "costs")
+Passed = Mapping[Key, tuple[bytes, ...] | None]  # what objects were in versions that are skipped; None: not known
+NOTHING: Passed = {}
 SHARED = frozenset((*NAMED, *SINGLE))
 
 
@@ -107,8 +109,10 @@
     return replace(config, peer_key=peer_key, files=(path, *reading.reader.files))
 
 
-def told(known: Config, changes: Iterable[Change], version: int) -> tuple[Config, dict[str, Delta]]:
-    """The objects of a step beside the settings that hold. Raises Refused."""
+def told(
+    known: Config, changes: Iterable[Change], version: int, passed: Passed = NOTHING
+) -> tuple[Config, dict[str, Delta]]:
+    """The objects of a step, or of several at once, beside the settings that hold. Raises Refused."""
     file, wrong = known.file, []
     deltas = {g: _unmoved(getattr(file, g)) for g in MANY}
     rest: dict[str, Any] = {}
@@ -155,13 +159,36 @@
     touched = ((name, slots[name]) for name in (*mine.put, *mine.gone) if name in slots)
     had = {name: held.doors[slot] for name, slot in touched if held.plans[slot] in bound}
     had = {name: doors for name, doors in had.items() if _other(doors, mine.get(name), count)}
+    ways = _passed(passed, mine, count) if any(p.ceiling_rate for p in file.plans.values()) else {}
     try:
-        between = known.between.changed(version, had) if count > 1 else known.between
+        between = known.between.changed(version, had, ways) if count > 1 else known.between
     except SlotError as bad:
-        raise Refused([(("partner", next(iter(had))), "through", str(bad))]) from None
+        raise Refused([(("partner", next(iter(had or ways))), "through", str(bad))]) from None
     return _acting(replace(known, file=file, spots=spots, between=between), mine), deltas
 
 
+def _passed(passed: Passed, mine: Delta, count: int) -> dict[str, tuple[Doors, ...]]:
+    """The doors that partners had in skipped versions, of those that had others than they have."""
+    out: dict[str, tuple[Doors, ...]] = {}
+    for (kind, name), rows in passed.items():
+        record = mine.get(name) if kind == "partner" else None
+        if record is None:  # it is gone, and spends nothing here
+            continue
+        ways = (NOBODY,) if rows is None else tuple(_doors(name, data) for data in rows)
+        if ways := tuple(w for w in ways if w == NOBODY or _other(w, record, count)):
+            out[name] = ways
+    return out
+
+
+def _doors(name: str, data: bytes) -> Doors:
+    if plain := PLAIN.fullmatch(data):
+        return _plain(plain)[2]
+    try:
+        return decode(("partner", name), data).through  # type: ignore[attr-defined]
+    except Refused:  # no version that could be acted on here; elsewhere, who knows
+        return NOBODY
+
+
 def settled(known: Config, version: int) -> tuple[Config, dict[str, Delta]]:
     """All ingresses act on a version, or on a later one; where ceilings are lent, they do so since ``OVER_TERMS`` of
     the terms of budgets (rollout/ceilings.py)."""
--- a/rushweir/daemon/reloading.py
+++ b/rushweir/daemon/reloading.py
@@ -7,6 +7,7 @@
 from typing import Any, Protocol
 
 from rushweir.config import Config, ConfigError, live
+from rushweir.config.live import NOTHING, Passed
 from rushweir.config.objects import Refused
 from rushweir.daemon.beside import beside, giving_way
 from rushweir.daemon.decisions import needs_restart
@@ -63,13 +64,15 @@
             raise ConfigError(problems)
         return live.prepare(s.config, new, deltas, s._setup, s.core.setup)
 
-    async def step(self, changes: Sequence[Change], version: int) -> None:
-        """Apply a step of the control processes, whole or not at all. Raises Refused."""
+    async def step(self, changes: Sequence[Change], version: int, passed: Passed = NOTHING) -> None:
+        """Apply a step of the control processes, whole or not at all. ``passed``: what objects were in versions that
+        are skipped by it. Raises Refused."""
         s = self.service
         async with self.lock:
             # A large one is prepared beside the loop; one partner takes less than a thread's start.
             many = len(changes) > live.FEW
-            prepared = await beside(self._told, changes, version) if many else self._told(changes, version)
+            given = changes, version, passed
+            prepared = await beside(self._told, *given) if many else self._told(*given)
             live.apply(s.core, prepared, s.clock())
             s.taken(prepared.config, changes)
             s.shell.carry_out()
@@ -88,9 +91,9 @@
             s.taken(new, None)
             s.shell.carry_out()
 
-    def _told(self, changes: Sequence[Change], version: int) -> live.Prepared:
+    def _told(self, changes: Sequence[Change], version: int, passed: Passed) -> live.Prepared:
         s = self.service
-        new, deltas = live.told(s.config, changes, version)
+        new, deltas = live.told(s.config, changes, version, passed)
         if problems := needs_restart(s.config, new):
             raise Refused(((p.text.split(":")[0], ""), "", p.text) for p in problems)
         return live.prepare(s.config, new, deltas, s._setup, s.core.setup, rows=False)
--- a/rushweir/daemon/rollouts.py
+++ b/rushweir/daemon/rollouts.py
@@ -141,7 +141,7 @@
         self.core = self._watching(kept)
         self.first: asyncio.Future[Config] = asyncio.get_running_loop().create_future()
         self.service: Any = None
-        self.apply: Callable[[tuple[Change, ...], int], Awaitable[None]] = self._first
+        self.apply: Callable[[tuple[Change, ...], int, Any], Awaitable[None]] = self._first
         self.wires: dict[int, Wire] = {}
         self.dials: dict[int, asyncio.Task] = {}
         self.writes: list[Keep | Between] = []
@@ -174,7 +174,7 @@
         self.carry_out()
         return await self.first
 
-    async def _first(self, changes: tuple[Change, ...], version: int) -> None:
+    async def _first(self, changes: tuple[Change, ...], version: int, _: Any) -> None:
         rows = [(c.key, c.data) for c in changes if c.data is not None]
         if self.first.done():  # nobody serves yet; what came first is what it starts with
             raise Refused([(("", ""), "", "the ingress is starting")])
@@ -272,7 +272,7 @@
         many = len(order.what.rows) > live.FEW
         try:
             changes = await beside(lambda: order.changes) if many else order.changes
-            await self.apply(changes, order.version)
+            await self.apply(changes, order.version, order.passed)
             self._keep_between()
         except Refused as problem:
             key, field, text = problem.wrong[0]
--- a/rushweir/rollout/ceilings.py
+++ b/rushweir/rollout/ceilings.py
@@ -19,6 +19,14 @@
 Old and new are never there together, since ``new`` needs that nobody is ``old``; and what is owned without asking is
 part of either's whole: old and between add up to the old at most, between and new to the new. A door of only one side
 has nothing in between. Of several changes in a row the smallest of all that may be in force counts.
+
+**Skipped versions.** What makes this hold is that an ingress knows the customer's doors at each version from the
+one that all act on to its own. For then there is a way that all know: if some act on one alone, as old or new, the
+latest of these, which all have reached; if nobody does, that of the version that the one furthest behind acts on. All
+own their part of this way's whole at most. Who goes from 5 to 9 at once has to know the doors of 6 to 8 for it:
+another may act on 7 alone as soon as it hears that all act on 7 or later. They are known of steps that came and were
+overtaken before they were applied (watching_ahead.py); of what came as a difference they are not, and NOBODY stands
+for them.
 """
 
 from __future__ import annotations
@@ -37,6 +45,7 @@
 
 CLOSED = "\x00closed"  # no name that settings can have
 Doors = tuple[int, int]  # the first, and how many from it on; (0, 0): all
+NOBODY: Doors = (0, -1)  # in place of doors that are not known: whoever has it among its ways owns nothing
 
 
 def closed(price: float = 1.0) -> i.Plan:
@@ -128,14 +137,17 @@
     customers: Mapping[str, tuple[int, tuple[Doors, ...]]] = field(default_factory=dict)
     everywhere: int = 0  # all ingresses act on this version, or later
 
-    def changed(self, version: int, doors: Mapping[str, Doors]) -> Between:
-        """A version gives these customers other doors; ``doors``: the ones that they had."""
-        if version <= self.everywhere or not doors:
+    def changed(
+        self, version: int, doors: Mapping[str, Doors], passed: Mapping[str, tuple[Doors, ...]] | None = None
+    ) -> Between:
+        """A version gives these customers other doors; ``doors``: the ones that they had. ``passed``: those that
+        customers had in versions between."""
+        if version <= self.everywhere or not (doors or passed):
             return self
         known = dict(self.customers)
-        for name, had in doors.items():
+        for name, more in (*((n, (had,)) for n, had in doors.items()), *(passed or {}).items()):
             ways = known[name][1] if name in known else ()
-            known[name] = version, tuple(dict.fromkeys((*ways, had)))
+            known[name] = version, tuple(dict.fromkeys((*ways, *more)))
         if len(known) > MOST_BETWEEN:
             raise SlotError(f"more than {MOST_BETWEEN} partners whose doors change, or who go, before all know it")
         return replace(self, customers=known)
--- a/rushweir/rollout/watching.py
+++ b/rushweir/rollout/watching.py
@@ -25,6 +25,7 @@
 
 import random
 from collections import Counter, deque
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -62,6 +63,11 @@
         """Worked out when first asked for; may be beside the loop, which takes 1 ms for 60 objects."""
         return self.what.changes
 
+    @property
+    def passed(self) -> Mapping[Key, tuple[bytes, ...] | None]:
+        """What objects were in versions between; None: not known."""
+        return self.what.passed
+
 
 @dataclass(frozen=True, slots=True)
 class Keep:
--- a/rushweir/rollout/watching_ahead.py
+++ b/rushweir/rollout/watching_ahead.py
@@ -7,6 +7,15 @@
 A refusal leaves the book as it is and lays both layers together, so that a later step that mends what was refused is
 taken with all from the book's version on. Each change of ``rows`` has to make the whole's digest, or none of it is
 taken: so nobody holds objects that are no version of the log. All is bounded by the objects of two versions.
+
+Of an object that is overtaken before it is applied, what it was is ``passed``: others may act on that version, and
+ceilings need to know (ceilings.py). What came as a difference, over several versions, may have been anything in
+between; and so may what is beyond the bounds.
+
+    the object's row                         then it passed
+    overtaken by a later row                 what it was
+    of a difference, two versions or more    anything
+    a layer that is refused                  what it was, and it had passed, if overtaken meanwhile
 """
 
 from __future__ import annotations
@@ -32,7 +41,10 @@
     weight,
     whole_digest,
 )  # fmt: skip
-from rushweir.rollout.steps import Change, Step
+from rushweir.rollout.steps import Change, Key, Step
+
+MOST_PASSED, MOST_WAYS = 4_096, 8  # objects of which it is kept what they were in between, and how often of each
+Passed = dict[str, tuple[bytes, ...] | None]  # what objects were in between; None: anything
 
 
 class Delta:
@@ -75,6 +87,7 @@
     def __init__(self, ahead: Ahead, rows: Mapping[str, bytes | None]) -> None:
         self.book, self.rows, self.version = ahead.book, rows, ahead.version
         self.sums, self.tally = list(ahead.sums), (ahead.count, ahead.size)
+        self._passed = ahead.passed
         self._changes: tuple[Change, ...] | None = None
         self._parts: dict[int, dict[str, bytes | None]] | None = None
 
@@ -87,6 +100,16 @@
             self._changes = tuple(Change(key_of(t), None if held is None else held[8:]) for t, held in differ)
         return self._changes
 
+    @property
+    def passed(self) -> dict[Key, tuple[bytes, ...] | None]:
+        """Objects that were something else in versions between; None: not known what."""
+        known = self._passed.items()
+        return {key_of(t): None if rows is None else tuple(r[8:] for r in rows) for t, rows in known}
+
+    def known(self) -> Passed:
+        """The same, as a layer has it."""
+        return self._passed
+
     @property
     def parts(self) -> dict[int, dict[str, bytes | None]]:
         """The rows by their parts."""
@@ -107,6 +130,7 @@
         self.sums, self.total = list(book.sums), book.total
         self.count, self.size = book.count, book.size
         self.taken = 0  # how often something was taken: what is known is the same as long as this is
+        self.passed: Passed = {}
         self.applying: Mapping[str, bytes | None] | None = None
         self.frozen: Frozen | None = None
 
@@ -159,17 +183,28 @@
             return False
         for part, gain in delta.sums.items():
             self.sums[part] = (self.sums[part] + gain) & WRAP
+        next_one, skips = (self.version + 1).to_bytes(8, "big"), 0 < self.version < version - 1
+        for text, held in delta.rows.items():
+            if skips and (held is None or held[:8] > next_one):  # versions of eight bytes sort as their bytes do
+                self._pass(text, None)
+            elif (was := self.rows.get(text)) is not None:
+                self._pass(text, (was,))
         self.rows.update(delta.rows)
         self.version, self.total = version, total
         self.count, self.size, self.taken = self.count + delta.count, self.size + delta.size, self.taken + 1
         return True
 
+    def _pass(self, text: str, was: tuple[bytes, ...] | None) -> None:
+        known = self.passed.get(text, ())
+        many = len(self.passed) >= MOST_PASSED or len(known or ()) >= MOST_WAYS
+        self.passed[text] = None if was is None or known is None or many else (*known, *was)
+
     # --- the one who applies ---------------------------------------------------------------------
 
     def freeze(self) -> Frozen:
         """What is to be applied now."""
         self.applying, self.rows = self.rows, {}
-        self.frozen = Frozen(self, self.applying)
+        self.frozen, self.passed = Frozen(self, self.applying), {}
         return self.frozen
 
     def applied(self) -> list[Row]:
@@ -183,6 +218,13 @@
 
     def refused(self) -> None:
         assert self.applying is not None
+        assert self.frozen is not None
+        later, self.passed = self.passed, self.frozen.known()
+        for text in self.rows:
+            if (was := self.applying.get(text)) is not None:
+                self._pass(text, (was,))
+        for text, rows in later.items():
+            self._pass(text, rows)
         self.rows, self.applying, self.frozen = {**self.applying, **self.rows}, None, None
 
 
--- /dev/null
+++ b/tests/rollout/test_ceilings_skipped.py
@@ -0,0 +1,214 @@
+"""Ingresses that skip versions: what all may spend together, by the settings that each has made of what it got."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+from hypothesis import example, given, settings
+from hypothesis import strategies as st
+
+from rushweir.config import Config, live, load_text
+from rushweir.rollout import watching_ahead
+from rushweir.rollout.book import Book, entry, packed
+from rushweir.rollout.ceilings import CLOSED, NOBODY, Between, among, share
+from rushweir.rollout.packed import PackedBook
+from rushweir.rollout.steps import Change, Step
+from rushweir.rollout.watching_ahead import Ahead, Delta
+from tests.rollout.test_ceilings import BASE, World, block, over, partner, plan
+
+COUNT = 3
+FIRST = [Change(("plan", "tin"), plan(40, 20, 1)), partner("a", "tin", 0, 1), partner("b", "tin")]
+WAYS = [(0, 1), (1, 1), (2, 1), (0, 2), (1, 2), (0, 0), None]  # None: the partner is dropped
+
+
+class Ingress:
+    """What came, what is acted on, and what is in between; nothing of a request."""
+
+    def __init__(self, me: int, truth: Book) -> None:
+        text = BASE.format(me=me, count=COUNT) + "".join(map(block, FIRST))
+        self.me, self.config = me, load_text(text, "x", Path("."))
+        book = PackedBook()
+        book.put([row for part in truth.parts for row in part.items()], truth.version)
+        self.ahead = Ahead(book)
+
+    def step(self, log: list[Step], digests: list[bytes]) -> None:
+        if self.ahead.version < len(log):
+            assert self.ahead.step(log[self.ahead.version], digests[self.ahead.version])
+
+    def difference(self, truth: Book) -> None:
+        if self.ahead.version < truth.version:
+            delta = Delta(self.ahead)
+            rows = truth.since(self.ahead.version)
+            assert rows is not None
+            delta.add_all(rows)
+            assert self.ahead.take(delta, truth.version, truth.digest())
+
+    def freeze(self) -> None:
+        if self.ahead.applying is None and self.ahead.rows:
+            self.ahead.freeze()
+
+    def apply(self, good: bool) -> None:
+        self.freeze()
+        frozen = self.ahead.frozen
+        if frozen is None:
+            return
+        if not good:
+            self.ahead.refused()
+            return
+        self.take(*live.told(self.config, frozen.changes, frozen.version, frozen.passed))
+        self.ahead.applied()
+
+    def take(self, config: Config, deltas: dict) -> None:
+        for g in live.MANY:
+            getattr(self.config.file, g).adopt(deltas[g])
+        self.config = config
+
+    def settled(self, version: int) -> None:
+        self.take(*live.settled(self.config, version))
+
+    def part(self) -> float:
+        """Of a whole, what this one spends at most while it need not ask anybody, or by asking."""
+        group = self.config.file.partners
+        if (way := self.config.ways.get("a")) is not None:
+            return 0.0 if way.plan == CLOSED else float(way.plan.split()[1])
+        if "a" not in group:
+            return 0.0
+        size = among(group["a"].through, self.me, COUNT)
+        return 1 / size if size else 0.0
+
+
+EVENTS = st.lists(
+    st.one_of(
+        st.tuples(st.just("commit"), st.sampled_from(WAYS)),
+        st.tuples(st.sampled_from(["step", "steps", "difference", "freeze", "apply", "refuse", "settle"]),
+                  st.integers(0, COUNT - 1)),
+    ),
+    max_size=40,
+)  # fmt: skip
+
+
+def play(events: list) -> list[float]:
+    """What all spend together after each event."""
+    truth = Book()
+    truth.take(Step(1, tuple(FIRST)))
+    log, digests = [Step(1, tuple(FIRST))], [truth.digest()]
+    ingresses = [Ingress(k, truth) for k in range(COUNT)]
+    sums = []
+    for what, which in events:
+        if what == "commit":
+            change = Change(("partner", "a"), None) if which is None else partner("a", "tin", *which)
+            if which is None and truth.get(("partner", "a")) is None:
+                continue
+            # A second object, so that each version differs.
+            log.append(Step(len(log) + 1, (change, partner("b", "tin", len(log) % COUNT, 1))))
+            truth.take(log[-1])
+            digests.append(truth.digest())
+            continue
+        i = ingresses[which]
+        if what in ("step", "steps"):
+            for _ in range(1 if what == "step" else 3):
+                i.step(log, digests)
+        elif what == "difference":
+            i.difference(truth)
+        elif what == "freeze":
+            i.freeze()
+        elif what in ("apply", "refuse"):
+            i.apply(what == "apply")
+        else:
+            i.settled(min(x.ahead.book.version for x in ingresses))
+        sums.append(sum(x.part() for x in ingresses))
+    return sums
+
+
+# 0 goes from 1 to 3 at once, where the doors are as before; 1 and 2 act on 2 alone, as all act on 2 or later by then.
+BACK = [("commit", (1, 1)), ("commit", (0, 1)), ("difference", 0), ("apply", 0), ("step", 1), ("apply", 1),
+        ("step", 2), ("apply", 2), ("settle", 1), ("settle", 2)]  # fmt: skip
+OVERTAKEN = [("steps", k) if (what, k) == ("difference", 0) else (what, k) for what, k in BACK]
+REFUSED = [("commit", (1, 1)), ("step", 0), ("freeze", 0), ("commit", (0, 1)), ("step", 0), ("refuse", 0), *BACK[3:]]
+
+
+@settings(max_examples=300, deadline=None, derandomize=True)
+@given(EVENTS)
+@example(BACK)
+@example(OVERTAKEN)
+@example(REFUSED)
+def test_all_together_spend_no_more_than_one_whole_whatever_versions_they_skip(events: list) -> None:
+    assert max(play(events), default=0.0) <= 1 + 1e-9
+
+
+@pytest.mark.parametrize("events", [BACK, OVERTAKEN, REFUSED])
+def test_it_is_found_that_skipped_doors_are_not_known(events: list, monkeypatch: pytest.MonkeyPatch) -> None:
+    """A planted fault: what passed is forgotten."""
+    monkeypatch.setattr(live, "_passed", lambda *_: {})
+    assert max(play(events)) > 1.9
+
+
+def test_once_all_act_on_the_newest_nobody_is_held_down() -> None:
+    for events in (BACK, OVERTAKEN, REFUSED):
+        rest = [(what, k) for what in ("step", "step", "apply", "settle") for k in range(COUNT)]
+        assert play([*events, *rest])[-1] == 1.0
+
+
+def test_doors_of_steps_that_were_overtaken_are_known_and_give_a_part() -> None:
+    """A difference could have hidden any doors, so nothing is left; of steps the part of both is."""
+    wide = [("commit", (0, 2)), ("commit", (0, 1))]
+    assert play([*wide, ("steps", 0), ("apply", 0)])[-1] == 0.5
+    assert play([*wide, ("difference", 0), ("apply", 0)])[-1] == 0.0
+    assert play([("commit", (0, 1)), ("commit", (0, 1)), ("steps", 0), ("apply", 0)])[-1] == 1.0  # the same doors
+
+
+def test_two_doors_of_which_one_skipped_a_version_share_one_whole() -> None:
+    """The same by real policies with their mail: 0 goes from 0 to 2 while 1 acts on version 1 alone."""
+    w = World([Change(("plan", "tin"), plan(40, 20, 1)), partner("a", "tin", 0, 1)])
+    away, back = partner("a", "tin", 1, 1), partner("a", "tin", 0, 1)
+    w.run(600.0, {"a": [0]})
+    g = w.gateways[0]
+    g.take(*live.told(g.config, [back], 2, {back.key: (away.data,)}), w.now)
+    for other in w.gateways[1:]:
+        other.step([away], 1, w.now)
+    for other in w.gateways[1:]:
+        other.settled(1, w.now)
+    w.run(1_500.0, {"a": [0, 1]})
+    assert over(w.spent["a"], 40, 20) <= 1
+
+
+# --- what passed, by itself ----------------------------------------------------------------------
+
+
+def test_nobody_is_no_door_and_is_kept_as_any_other() -> None:
+    assert [among(NOBODY, k, COUNT) for k in range(COUNT)] == [0] * COUNT
+    assert share([(0, 0), NOBODY], 1, COUNT, 1.0) == 0.0
+    b = Between().changed(9, {}, {"a": ((1, 1), NOBODY)})
+    assert b.customers == {"a": (9, ((1, 1), NOBODY))}
+    assert Between.load(b.dump()) == b
+    assert b.changed(10, {"a": (0, 1)}, {"a": ((1, 1),)}).customers == {"a": (10, ((1, 1), NOBODY, (0, 1)))}
+    assert b.all_at_least(9).customers == {}
+    assert b.all_at_least(9).changed(9, {}, {"a": (NOBODY,)}).customers == {}
+
+
+def test_what_passed_is_bounded_and_beyond_the_bound_it_is_not_known(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(watching_ahead, "MOST_PASSED", 2)
+    monkeypatch.setattr(watching_ahead, "MOST_WAYS", 3)
+    truth, ahead = Book(), Ahead(Book())
+    names = ("p", "q", "r")
+    for n in range(1, 7):
+        changes = tuple(Change(("partner", name), b"%d" % n) for name in (names if n < 3 else names[:1]))
+        truth.take(Step(n, changes))
+        assert ahead.step(Step(n, changes), truth.digest())
+        frozen = watching_ahead.Frozen(ahead, ahead.rows)
+        assert len(frozen.passed) <= 3
+    assert frozen.passed == {("partner", "p"): None, ("partner", "q"): (b"1",), ("partner", "r"): None}
+
+
+def test_of_a_difference_only_what_may_have_been_something_else_is_not_known() -> None:
+    book = Book()
+    book.put([(packed(("partner", name)), entry(4, b"x")) for name in "pqr"], 5)
+    ahead, truth = Ahead(book), book.copy()
+    delta = Delta(ahead)
+    rows = [(packed(("partner", "p")), entry(6, b"y")), (packed(("partner", "q")), entry(8, b"y")),
+            (packed(("partner", "r")), None), (packed(("partner", "new")), entry(7, b"y"))]  # fmt: skip
+    truth.put(rows, 9)
+    delta.add_all(rows)
+    assert ahead.take(delta, 9, truth.digest())
+    assert ahead.freeze().passed == {("partner", name): None for name in ("q", "r", "new")}
