--- a/tests/rollout/test_packed.py
+++ b/tests/rollout/test_packed.py
@@ -197,7 +197,7 @@
     kept.book.put([(packed(("partner", str(n))), entry(1, b"x" * 50)) for n in range(3 * p.LOOSE)], 1)
     digest = kept.book.digest()
     core = Watching(0.0, "i", ("c",), kept)
-    core.ahead.applying = {}
+    core.ahead.freeze()
     core.advance(FOLD_MS)
     assert not any(part.piece for part in kept.book.parts)  # type: ignore[attr-defined]
     core.refused(2 * FOLD_MS, 1, ("", ""), "", "")
