--- a/rushweir/config/live.py
+++ b/rushweir/config/live.py
@@ -18,7 +18,9 @@
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, replace
 from functools import lru_cache
+from itertools import chain, islice
 from typing import Any
+from zlib import crc32
 
 from rushweir.config import checks
 from rushweir.config import models as m
@@ -31,12 +33,14 @@
 from rushweir.ingress.asks import Partner
 from rushweir.ingress.core import Core
 from rushweir.ingress.websocket import Setup
-from rushweir.rollout.ceilings import Between, Doors, SlotError, acting
+from rushweir.rollout.ceilings import NOBODY, Between, Doors, SlotError, acting
 from rushweir.rollout.steps import Change, Key
 
 FEW = 128  # changed objects of a kind that are put in place one by one, within a turn
-PIECE = 1_000  # objects that a start reads at once
+PIECE = 250  # objects that a start reads at once
 MANY = ("partners", "costs")
+Passed = Mapping[Key, tuple[bytes, ...] | None]  # what objects were in versions that are skipped; None: not known
+NOTHING: Passed = {}
 SHARED = frozenset((*NAMED, *SINGLE))
 
 
@@ -50,6 +54,9 @@
     setup: Setup | None  # None: partners and cost routes alone
     changes: list[dict[str, object]]  # as ``differ`` tells them
     copies: Mapping[str, Group]  # as they will be, where much changes
+    plans: Mapping[str, str]  # of partners that are new or have another
+    touched: frozenset[str]  # partners of which anything changed
+    hashes: tuple[tuple[str, int], ...]  # of those whose requests are counted otherwise, as the policy has them
 
 
 def read(known: Config, path: Any) -> tuple[Config, dict[str, Delta]]:
@@ -77,7 +84,7 @@
     path: Any, kept: Iterable[tuple[Key, bytes]], version: int, between: Between | None = None, seat: int = -1
 ) -> Config:
     """The settings of a start: the machine's own file, and the objects of a version, with what was ``between`` when
-    they were kept: not all may act on it yet. Raises ConfigError, Refused."""
+    they were kept: not all may act on it yet. ``kept`` is walked through twice. Raises ConfigError, Refused."""
     reading = Reading(text_of(path), str(path), path.parent, None, SHARED)
     if reading.problems or reading.file is None:
         raise reading.error()
@@ -85,11 +92,10 @@
     groups["partners"].held.everywhere = reading.file.ingress[1]
     config = Config(reading.file.model_copy(update=groups), path.parent, None, reading.spots, (path,), seat)
     config = replace(config, between=between or Between())
-    few, many = list[Change](), list[Change]()
-    for key, data in kept:
-        (many if path_of(key)[0] in MANY else few).append(Change(key, data))
+    few = [Change(key, data) for key, data in kept if path_of(key)[0] not in MANY]
+    many = (Change(key, data) for key, data in kept if path_of(key)[0] in MANY)
     # In pieces: what is read of an object before it is in its slot is larger than the slot.
-    for piece in (few, *(many[k : k + PIECE] for k in range(0, len(many), PIECE))):
+    for piece in chain([few], iter(lambda: list(islice(many, PIECE)), [])):
         config, deltas = told(config, piece, version)
         for g in MANY:
             groups[g].adopt(deltas[g])
@@ -104,8 +110,10 @@
     return replace(config, peer_key=peer_key, files=(path, *reading.reader.files))
 
 
-def told(known: Config, changes: Iterable[Change], version: int) -> tuple[Config, dict[str, Delta]]:
-    """The objects of a step beside the settings that hold. Raises Refused."""
+def told(
+    known: Config, changes: Iterable[Change], version: int, passed: Passed = NOTHING
+) -> tuple[Config, dict[str, Delta]]:
+    """The objects of a step, or of several at once, beside the settings that hold. Raises Refused."""
     file, wrong = known.file, []
     deltas = {g: _unmoved(getattr(file, g)) for g in MANY}
     rest: dict[str, Any] = {}
@@ -152,13 +160,36 @@
     touched = ((name, slots[name]) for name in (*mine.put, *mine.gone) if name in slots)
     had = {name: held.doors[slot] for name, slot in touched if held.plans[slot] in bound}
     had = {name: doors for name, doors in had.items() if _other(doors, mine.get(name), count)}
+    ways = _passed(passed, mine, count) if any(p.ceiling_rate for p in file.plans.values()) else {}
     try:
-        between = known.between.changed(version, had) if count > 1 else known.between
+        between = known.between.changed(version, had, ways) if count > 1 else known.between
     except SlotError as bad:
-        raise Refused([(("partner", next(iter(had))), "through", str(bad))]) from None
+        raise Refused([(("partner", next(iter(had or ways))), "through", str(bad))]) from None
     return _acting(replace(known, file=file, spots=spots, between=between), mine), deltas
 
 
+def _passed(passed: Passed, mine: Delta, count: int) -> dict[str, tuple[Doors, ...]]:
+    """The doors that partners had in skipped versions, of those that had others than they have."""
+    out: dict[str, tuple[Doors, ...]] = {}
+    for (kind, name), rows in passed.items():
+        record = mine.get(name) if kind == "partner" else None
+        if record is None:  # it is gone, and spends nothing here
+            continue
+        ways = (NOBODY,) if rows is None else tuple(_doors(name, data) for data in rows)
+        if ways := tuple(w for w in ways if w == NOBODY or _other(w, record, count)):
+            out[name] = ways
+    return out
+
+
+def _doors(name: str, data: bytes) -> Doors:
+    if plain := PLAIN.fullmatch(data):
+        return _plain(plain)[2]
+    try:
+        return decode(("partner", name), data).through  # type: ignore[attr-defined]
+    except Refused:  # no version that could be acted on here; elsewhere, who knows
+        return NOBODY
+
+
 def settled(known: Config, version: int) -> tuple[Config, dict[str, Delta]]:
     """All ingresses act on a version, or on a later one; where ceilings are lent, they do so since ``OVER_TERMS`` of
     the terms of budgets (rollout/ceilings.py)."""
@@ -240,7 +271,18 @@
         before += _rows(deltas, known.spots, before=True)
         changes = differ(before, [*after, *_rows(deltas, Spots(deltas), before=False)])
     copies = {g: d.group.with_all(d) for g, d in deltas.items() if len(d.put) + len(d.gone) > FEW}
-    return Prepared(known, new, deltas, setup, changes, copies)
+    mine: Delta = deltas["partners"]
+    had, slots = mine.group.held.plans, mine.group.slots
+    plans = {n: r[0] for n, (r, _) in mine.put.items() if n not in slots or had[slots[n]] != r[0]}
+    ways = [n for n in (*known.ways, *new.ways) if known.ways.get(n) != new.ways.get(n)]
+    moved = dict.fromkeys((*mine.put, *ways))
+    if setup is None:  # else a plan may be another under its name
+        doors = mine.group.held.doors
+        through = [n for n, (r, _) in mine.put.items() if n in slots and doors[slots[n]] != r[2]]
+        moved = dict.fromkeys((*plans, *through, *ways))
+    hashes = tuple((n, crc32(n.encode())) for n in moved)
+    touched = frozenset((*mine.put, *mine.gone, *ways))
+    return Prepared(known, new, deltas, setup, changes, copies, plans, touched, hashes)
 
 
 def _rest(config: Config, other: Config) -> list[dict[str, object]]:
@@ -280,15 +322,17 @@
     known, new = prepared.beside, prepared.config
     if new.ways != known.ways:
         partners.held.acting = _partners(new)
-    names = {*mine.put, *mine.gone, *(n for n in (*known.ways, *new.ways) if known.ways.get(n) != new.ways.get(n))}
     usage = core.watch.usage
-    usage.change({name: record[0] for name, (record, _) in mine.put.items()}, mine.gone)
+    usage.change(prepared.plans, mine.gone)
     usage.source = partners.held  # as it is by now
     if prepared.setup is not None:
         setup.renew(core, now)
     elif core.setup.credentials is not partners.held:
         core.setup = setup
-    if names:
+    if prepared.touched:
         if prepared.setup is None:
-            core.setup.touch(core, now, names)
-        core.setup.moved(core, now, names)
+            core.setup.touch(core, now, prepared.touched)
+        # Of thousands only those that the policy knows by now: the others have their doors from their first request.
+        quota = getattr(core.engine.policy, "quota", None)
+        busy = () if quota is None else quota.customers
+        core.setup.moved(core, now, [name for name, hashed in prepared.hashes if hashed in busy])
--- a/rushweir/daemon/reloading.py
+++ b/rushweir/daemon/reloading.py
@@ -3,20 +3,18 @@
 from __future__ import annotations
 
 import asyncio
-import gc
-import sys
 from collections.abc import Sequence
 from typing import Any, Protocol
 
 from rushweir.config import Config, ConfigError, live
+from rushweir.config.live import NOTHING, Passed
 from rushweir.config.objects import Refused
+from rushweir.daemon.beside import beside, giving_way
 from rushweir.daemon.decisions import needs_restart
 from rushweir.daemon.notify import notify, reloading
 from rushweir.rollout.ceilings import OVER_TERMS
 from rushweir.rollout.steps import Change
 
-SWITCH_S, RELOAD_SWITCH_S = sys.getswitchinterval(), 0.0005
-
 
 class Reloads(Protocol):
     """What of the daemon a reload is about."""
@@ -45,23 +43,17 @@
             notify(reloading())
             try:
                 # A first reading of thousands of partners takes a second; it is done beside the loop, and applied in
-                # one turn of it. Meanwhile the thread gives way sooner: by default each turn may wait 5 ms for it.
-                sys.setswitchinterval(RELOAD_SWITCH_S)
-                # Thousands of young objects are what the collector would walk through, with the loop waiting for it.
-                gc.disable()
-                prepared = await asyncio.to_thread(self._read)
+                # one turn of it.
+                with giving_way():
+                    prepared = await asyncio.to_thread(self._read)
+                    live.apply(s.core, prepared, s.clock())
+                    s.taken(prepared.config, prepared.changes)
+                return prepared.changes
             except ConfigError as problem:
                 first = str(problem).splitlines()[0]
                 s.core.tell(s.clock(), "error", "reload_refused", problems=len(problem.problems), first=first)
                 raise
-            else:
-                live.apply(s.core, prepared, s.clock())
-                s.taken(prepared.config, prepared.changes)
-                return prepared.changes
             finally:
-                sys.setswitchinterval(SWITCH_S)
-                gc.freeze()  # they are the settings now, or gone by their counts: nothing to be walked through
-                gc.enable()
                 s.shell.carry_out()
                 notify("READY=1")
 
@@ -72,13 +64,15 @@
             raise ConfigError(problems)
         return live.prepare(s.config, new, deltas, s._setup, s.core.setup)
 
-    async def step(self, changes: Sequence[Change], version: int) -> None:
-        """Apply a step of the control processes, whole or not at all. Raises Refused."""
+    async def step(self, changes: Sequence[Change], version: int, passed: Passed = NOTHING) -> None:
+        """Apply a step of the control processes, whole or not at all. ``passed``: what objects were in versions that
+        are skipped by it. Raises Refused."""
         s = self.service
         async with self.lock:
             # A large one is prepared beside the loop; one partner takes less than a thread's start.
             many = len(changes) > live.FEW
-            prepared = await asyncio.to_thread(self._told, changes, version) if many else self._told(changes, version)
+            given = changes, version, passed
+            prepared = await beside(self._told, *given) if many else self._told(*given)
             live.apply(s.core, prepared, s.clock())
             s.taken(prepared.config, changes)
             s.shell.carry_out()
@@ -97,9 +91,9 @@
             s.taken(new, None)
             s.shell.carry_out()
 
-    def _told(self, changes: Sequence[Change], version: int) -> live.Prepared:
+    def _told(self, changes: Sequence[Change], version: int, passed: Passed) -> live.Prepared:
         s = self.service
-        new, deltas = live.told(s.config, changes, version)
+        new, deltas = live.told(s.config, changes, version, passed)
         if problems := needs_restart(s.config, new):
             raise Refused(((p.text.split(":")[0], ""), "", p.text) for p in problems)
         return live.prepare(s.config, new, deltas, s._setup, s.core.setup, rows=False)
--- a/rushweir/rollout/watching.py
+++ b/rushweir/rollout/watching.py
@@ -25,20 +25,23 @@
 
 import random
 from collections import Counter, deque
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 from typing import Any
 
 from rushweir.rollout import watch_mail as mail
 from rushweir.rollout.book import DIGEST, BookError, sound
 from rushweir.rollout.kept import Append, Kept, Rewrite
-from rushweir.rollout.steps import Change, Key, StepError, unpack
-from rushweir.rollout.watching_ahead import Ahead, Delta, of_marks
+from rushweir.rollout.steps import Change, Key, StepError
+from rushweir.rollout.watching_ahead import Ahead, Delta, Frozen, of_marks
 from rushweir.rollout.watching_links import Connect, Disconnect, Links
+from rushweir.rollout.weighing import LARGE, Weighing, step_of
 
 ACTS_MS = (200.0, 2_000.0)  # between two words on what it acts on: with something new, and as a sign of life
 RETRY_MS = (200.0, 3_200.0)  # before it asks again: at first, and at most
 STUCK_MS = 5_000.0  # behind what the beats tell, and nothing came: it asks again
 KEEP_MS = 10_000.0  # before a disk that failed is tried again
+FOLD_MS = 20.0  # between two parts of the book's memory that are packed
 MOST_BAD = 5  # messages in a row
 
 
@@ -52,9 +55,19 @@
 class Apply:
     """All of it or nothing, answered by ``applied`` or ``refused``."""
 
-    changes: tuple[Change, ...]
+    what: Frozen
     version: int
 
+    @property
+    def changes(self) -> tuple[Change, ...]:
+        """Worked out when first asked for; may be beside the loop, which takes 1 ms for 60 objects."""
+        return self.what.changes
+
+    @property
+    def passed(self) -> Mapping[Key, tuple[bytes, ...] | None]:
+        """What objects were in versions between; None: not known."""
+        return self.what.passed
+
 
 @dataclass(frozen=True, slots=True)
 class Keep:
@@ -99,12 +112,14 @@
         self.mend: Delta | None = None
         self.pieces = 0  # of it that came
         self.repairing = False
+        self.weighed: Weighing | None = None  # of the message that is being received
         self.bad = 0
         self.retry = RETRY_MS[0]
-        self.ask_at = self.keep_at = float("inf")
+        self.ask_at = self.keep_at = self.fold_at = float("inf")
         self.progress_at = self.acts_at = now
         self.told = -1  # the version that it said it acts on
         self.counts: Counter[str] = Counter()
+        self._crowded()
 
     @property
     def version(self) -> int:
@@ -134,14 +149,20 @@
             self.ask_at = float("inf")
         self.links.lost(now, conn)
 
-    def received(self, now: float, conn: int, text: bytes | str) -> None:
-        self.now = now
+    def weighing(self, text: bytes | str) -> Weighing | None:
+        """What may be done beside the loop before a large message is ``received``; None: it is none. Messages behind
+        it on its connection have to wait."""
+        return Weighing(text, self.key, self.ahead.view()) if len(text) > LARGE else None
+
+    def received(self, now: float, conn: int, text: bytes | str, weighed: Weighing | None = None) -> None:
+        """``weighed``: what was done with it before."""
+        self.now, self.weighed = now, weighed
         link = self.links.link(conn)
         if link is None:
             return
         link.heard_at = now
         try:
-            method, fields = mail.read(text, self.key)
+            method, fields = mail.read(text, self.key) if weighed is None else weighed.read()
             if method == "rollout.beat":
                 self._beat(conn, fields)
             elif link is not self.links.main or link.nonce < 0:
@@ -165,6 +186,7 @@
             self.orders.append(Keep(what, version))
         self._say()
         self._apply()
+        self._crowded()
 
     def refused(self, now: float, version: int, key: Key, field: str, text: str) -> None:
         """None of the changes ordered last is acted on."""
@@ -176,6 +198,7 @@
         self._say_refused()
         if self.ahead.version > version:
             self._apply()
+        self._crowded()
 
     def kept(self, now: float, version: int) -> None:
         self.now, self.disk_why = now, ""
@@ -193,7 +216,7 @@
         self._say()
 
     def next_at(self) -> float:
-        due = min(self.links.next_at(), self.ask_at, self.keep_at)
+        due = min(self.links.next_at(), self.ask_at, self.keep_at, self.fold_at)
         if self._watching():
             due = min(due, self.acts_at)
             if self.head > self.ahead.version:
@@ -206,6 +229,11 @@
         if now >= self.keep_at:
             self.keep_at = float("inf")
             self.orders.append(Keep(self.kept_state.whole(), self.version))
+        if now >= self.fold_at:
+            self.fold_at = float("inf")
+            # Not while a change is applied: whoever does that may look into the book from beside the loop.
+            if self.ahead.applying is None and self.book.fold():
+                self.fold_at = now + FOLD_MS
         if not self._watching():
             return
         if now >= self.ask_at:
@@ -229,14 +257,15 @@
         self.links.beat(self.now, conn, nonce, head, fields.get("current") is True)
 
     def _step(self, fields: dict[str, Any]) -> None:
-        step = unpack(mail.octets(fields, "step", mail.MOST_BODY))
+        weighed, self.weighed = self.weighed, None
+        step, delta = (step_of(fields), None) if weighed is None else (weighed.step_read(), weighed.delta)
         digest = mail.octets(fields, "digest", DIGEST)
         if step.number <= self.ahead.version:
             self.counts["known"] += 1
         elif step.number > self.ahead.version + 1:
             self.counts["ahead"] += 1
             self._ask_again()
-        elif self.ahead.step(step, digest):
+        elif self.ahead.step(step, digest, delta):
             self._newer()
         else:
             self._repair()
@@ -359,6 +388,10 @@
         assert self.links.main is not None
         self.orders.append(Send(self.links.main.conn, mail.write(method, fields, self.key)))
 
+    def _crowded(self) -> None:
+        if self.book.crowded:
+            self.fold_at = min(self.fold_at, self.now + FOLD_MS)
+
     def _apply(self) -> None:
         if self.ahead.applying is None and (self.ahead.version > self.version or self.ahead.rows):
             if self.refusal is not None and self.refusal.version == self.ahead.version:
--- a/rushweir/rollout/watching_ahead.py
+++ b/rushweir/rollout/watching_ahead.py
@@ -7,11 +7,21 @@
 A refusal leaves the book as it is and lays both layers together, so that a later step that mends what was refused is
 taken with all from the book's version on. Each change of ``rows`` has to make the whole's digest, or none of it is
 taken: so nobody holds objects that are no version of the log. All is bounded by the objects of two versions.
+
+Of an object that is overtaken before it is applied, what it was is ``passed``: others may act on that version, and
+ceilings need to know (ceilings.py). What came as a difference, over several versions, may have been anything in
+between; and so may what is beyond the bounds.
+
+    the object's row                         then it passed
+    overtaken by a later row                 what it was
+    of a difference, two versions or more    anything
+    a layer that is refused                  what it was, and it had passed, if overtaken meanwhile
 """
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
+from copy import copy
 
 from rushweir.rollout.book import (
     DIGEST,
@@ -22,6 +32,7 @@
     Book,
     BookError,
     Row,
+    bytes_of,
     entry,
     key_of,
     mark,
@@ -30,15 +41,24 @@
     weight,
     whole_digest,
 )  # fmt: skip
-from rushweir.rollout.steps import Change, Step
+from rushweir.rollout.steps import Change, Key, Step
+
+MOST_PASSED, MOST_WAYS = 4_096, 8  # objects of which it is kept what they were in between, and how often of each
+Passed = dict[str, tuple[bytes, ...] | None]  # what objects were in between; None: anything
 
 
 class Delta:
     """Changes on their way in, with what they add to the sums; they may come in pieces."""
 
     def __init__(self, ahead: Ahead) -> None:
-        self.ahead, self.rows = ahead, dict[str, bytes | None]()
+        self.ahead, self.rows, self.beside = ahead, dict[str, bytes | None](), ahead.taken
         self.sums: dict[int, int] = {}
+        self.count = self.size = 0  # objects and bytes more
+
+    def add_all(self, rows: Iterable[Row]) -> None:
+        """By parts: a look into the book unpacks one."""
+        for text, held in sorted(rows, key=lambda row: part_of(row[0])):
+            self.add(text, held)
 
     def add(self, text: str, held: bytes | None) -> None:
         old = self.rows[text] if text in self.rows else self.ahead.held(text)
@@ -46,6 +66,8 @@
             part = part_of(text)
             gain = (weight(text, held) if held is not None else 0) - (weight(text, old) if old is not None else 0)
             self.sums[part] = self.sums.get(part, 0) + gain
+            self.count += (held is not None) - (old is not None)
+            self.size += bytes_of(text, held) - bytes_of(text, old)
         if len(self.rows) > 2 * MOST_OBJECTS:
             raise BookError(f"more than {2 * MOST_OBJECTS} objects at once")
         self.rows[text] = held
@@ -58,6 +80,47 @@
                 self.add(text, None)
 
 
+class Frozen:
+    """A layer while it is applied. The book under it stays as it is meanwhile, so that all of this may be asked
+    beside the loop."""
+
+    def __init__(self, ahead: Ahead, rows: Mapping[str, bytes | None]) -> None:
+        self.book, self.rows, self.version = ahead.book, rows, ahead.version
+        self.sums, self.tally = list(ahead.sums), (ahead.count, ahead.size)
+        self._passed = ahead.passed
+        self._changes: tuple[Change, ...] | None = None
+        self._parts: dict[int, dict[str, bytes | None]] | None = None
+
+    @property
+    def changes(self) -> tuple[Change, ...]:
+        """What is to be applied, as it differs from the book."""
+        if self._changes is None:
+            rows = ((t, held) for part in self.parts.values() for t, held in part.items())
+            differ = ((t, held) for t, held in rows if held != self.book.held(t))
+            self._changes = tuple(Change(key_of(t), None if held is None else held[8:]) for t, held in differ)
+        return self._changes
+
+    @property
+    def passed(self) -> dict[Key, tuple[bytes, ...] | None]:
+        """Objects that were something else in versions between; None: not known what."""
+        known = self._passed.items()
+        return {key_of(t): None if rows is None else tuple(r[8:] for r in rows) for t, rows in known}
+
+    def known(self) -> Passed:
+        """The same, as a layer has it."""
+        return self._passed
+
+    @property
+    def parts(self) -> dict[int, dict[str, bytes | None]]:
+        """The rows by their parts."""
+        if self._parts is None:
+            found: dict[int, dict[str, bytes | None]] = {}
+            for text, held in self.rows.items():
+                found.setdefault(part_of(text), {})[text] = held
+            self._parts = found
+        return self._parts
+
+
 class Ahead:
     """The newest version known, over a book of the one that is acted on."""
 
@@ -65,8 +128,11 @@
         self.book, self.version = book, book.version
         self.rows: dict[str, bytes | None] = {}
         self.sums, self.total = list(book.sums), book.total
-        self.applying: dict[str, bytes | None] | None = None
-        self.frozen: tuple[int, list[int]] = (0, [])  # version and sums of what is being applied
+        self.count, self.size = book.count, book.size
+        self.taken = 0  # how often something was taken: what is known is the same as long as this is
+        self.passed: Passed = {}
+        self.applying: Mapping[str, bytes | None] | None = None
+        self.frozen: Frozen | None = None
 
     def held(self, text: str) -> bytes | None:
         if text in self.rows:
@@ -92,11 +158,23 @@
 
     # --- what comes ------------------------------------------------------------------------------
 
-    def step(self, step: Step, digest: bytes) -> bool:
-        """Whether the next step makes the digest told; else nothing is changed."""
+    def view(self) -> Ahead:
+        """As it is now, for whoever looks beside the loop."""
+        other = copy(self)
+        other.book, other.rows = self.book.copy(), dict(self.rows)
+        return other
+
+    def weigh(self, step: Step) -> Delta:
+        """The next step as it changes what is known."""
         delta = Delta(self)
-        for c in step.changes:
-            delta.add(packed(c.key), None if c.data is None else entry(step.number, c.data))
+        delta.add_all((packed(c.key), None if c.data is None else entry(step.number, c.data)) for c in step.changes)
+        return delta
+
+    def step(self, step: Step, digest: bytes, delta: Delta | None = None) -> bool:
+        """Whether the next step makes the digest told; else nothing is changed. ``delta``: as it was weighed before,
+        if that was beside what is known now."""
+        if delta is None or delta.beside != self.taken:
+            delta = self.weigh(step)
         return self.take(delta, step.number, digest)
 
     def take(self, delta: Delta, version: int, digest: bytes) -> bool:
@@ -105,31 +183,49 @@
             return False
         for part, gain in delta.sums.items():
             self.sums[part] = (self.sums[part] + gain) & WRAP
+        next_one, skips = (self.version + 1).to_bytes(8, "big"), 0 < self.version < version - 1
+        for text, held in delta.rows.items():
+            if skips and (held is None or held[:8] > next_one):  # versions of eight bytes sort as their bytes do
+                self._pass(text, None)
+            elif (was := self.rows.get(text)) is not None:
+                self._pass(text, (was,))
         self.rows.update(delta.rows)
         self.version, self.total = version, total
+        self.count, self.size, self.taken = self.count + delta.count, self.size + delta.size, self.taken + 1
         return True
 
+    def _pass(self, text: str, was: tuple[bytes, ...] | None) -> None:
+        known = self.passed.get(text, ())
+        many = len(self.passed) >= MOST_PASSED or len(known or ()) >= MOST_WAYS
+        self.passed[text] = None if was is None or known is None or many else (*known, *was)
+
     # --- the one who applies ---------------------------------------------------------------------
 
-    def freeze(self) -> tuple[Change, ...]:
-        """What is to be applied now, as it differs from the book."""
+    def freeze(self) -> Frozen:
+        """What is to be applied now."""
         self.applying, self.rows = self.rows, {}
-        self.frozen = (self.version, list(self.sums))
-        rows = [(t, held) for t, held in self.applying.items() if held != self.book.held(t)]
-        return tuple(Change(key_of(t), None if held is None else held[8:]) for t, held in rows)
+        self.frozen, self.passed = Frozen(self, self.applying), {}
+        return self.frozen
 
     def applied(self) -> list[Row]:
         """The book is of the frozen version from now on; what changed it."""
+        assert self.frozen is not None
         assert self.applying is not None
         rows = list(self.applying.items())
-        version, sums = self.frozen
-        self.book.merge(rows, version, sums)
-        self.applying = None
+        self.book.merge(self.frozen.parts, self.frozen.version, self.frozen.sums, *self.frozen.tally)
+        self.applying = self.frozen = None
         return rows
 
     def refused(self) -> None:
         assert self.applying is not None
-        self.rows, self.applying = {**self.applying, **self.rows}, None
+        assert self.frozen is not None
+        later, self.passed = self.passed, self.frozen.known()
+        for text in self.rows:
+            if (was := self.applying.get(text)) is not None:
+                self._pass(text, (was,))
+        for text, rows in later.items():
+            self._pass(text, rows)
+        self.rows, self.applying, self.frozen = {**self.applying, **self.rows}, None, None
 
 
 def of_marks(told: object) -> Iterable[tuple[int, bytes]]:
