A fold of the control processes' log: sliced in memory, its file made beside the writes

Seen: three real processes with 25,300 objects, ten operators for 100 s (benchmarks/control_fold.py, a busy machine, load 12 to 19): turns of the loop of 82 to 116 ms of CPU (89 to 819 ms by the clock), all at a fold; answers that were asked near a fold 568 ms for 99 in 100, 1,762 ms at most, else 199 ms. Checked: the turns are `Control.force` with `Log.fold` and `_rewrite`, which lists all records of the whole; the file is then written in the thread that appends, so that all entries behind it wait for it. Ruled out: elections; one term in each run.

Now: a fold is a state machine of its own (control_fold.py): slices of 256 changes, one a turn, then one order, Fold. The shell makes that file in pieces in another thread while the old one is appended to, and puts it in place in its turn among the writes, with what was appended meanwhile. While it is made the base stays as it is. A whole that comes from the leader ends it. The parts of a whole are found when they are sent. Of two found beside it: a process whose disk is an older copy folded its log at its start and so forgot that it is old; the process now calms its garbage collector as an ingress does (60 ms each with these objects).

Changed: the stage of test_control_core.py carries out Fold; test_log_storage.py asks `Parts` for what `parts` gave, with more asserted.

--- a/rushweir/daemon/control_files.py
+++ b/rushweir/daemon/control_files.py
@@ -1,18 +1,36 @@
-"""The folder of a control process: one file of its log, held by one process. Plain file calls, no decisions."""
+"""The folder of a control process: one file of its log, held by one process. Plain file calls, no decisions.
+
+A fold makes the file anew in two halves. ``make`` writes the new one under another name while the old one is
+still appended to, and takes as long as it likes. ``Place``, in its turn among the writes, copies what was appended
+meanwhile and puts the new one in place of the old one. A kill before that leaves the old file with all that was
+appended, a kill after it the new one with the same; what was half made is taken away at the next start.
+"""
 
 from __future__ import annotations
 
 import contextlib
 import os
+from dataclasses import dataclass
 from pathlib import Path
 
 from rushweir.daemon.lock import StateLock
 from rushweir.files import replace_file
 from rushweir.rollout import storage
-from rushweir.rollout.orders import Append, Rewrite
+from rushweir.rollout.orders import Append, Fold, Rewrite
 from rushweir.rollout.storage import Kept, StorageError
 
-NAME = "steps.log"
+NAME, HALF_MADE = "steps.log", "steps.log.fold"
+COPIED = 1_048_576  # bytes at a time
+
+
+@dataclass(slots=True)
+class Place:
+    """The file that this fold asked for is made: it may take its place."""
+
+    fold: Fold
+
+
+Write = Append | Rewrite | Fold | Place
 
 
 class ControlFiles:
@@ -21,9 +39,12 @@
     def __init__(self, folder: Path, me: int, count: int, new: bool, copies: tuple[Path, ...] = ()) -> None:
         """Takes the folder's lock. Raises lock.Held, StorageError, OSError; ``new``: the first start of all;
         ``copies``: the log is lost, and is made of those of all the others, which are down."""
-        self.path = folder / NAME
+        self.path, self.half = folder / NAME, folder / HALF_MADE
         self.lock = StateLock(folder)
-        self.fd = -1
+        self.fd = self.half_fd = -1
+        self.size = 0  # of the file, with what is not synced yet
+        self.fold: Fold | None = None  # on its way
+        self.from_ = 0  # what it replaces ends there; what is behind stays
         try:
             if copies:
                 self._rebuild(me, count, copies)
@@ -40,6 +61,7 @@
                     "what it confirmed, and must not go on; --new is for the first start of all of them"
                 )
             replace_file(self.path, storage.whole(Kept(me, count).records()), 0o600)
+        self.half.unlink(missing_ok=True)
         data = self.path.read_bytes()
         try:
             kept = storage.read(data, me, count)
@@ -49,7 +71,7 @@
         if kept.good < len(data):  # a write that a kill interrupted: what is behind it would be unreadable
             os.ftruncate(self.fd, kept.good)
             os.fsync(self.fd)
-        self.torn = len(data) - kept.good
+        self.torn, self.size = len(data) - kept.good, kept.good
         return kept
 
     def _rebuild(self, me: int, count: int, copies: tuple[Path, ...]) -> None:
@@ -68,23 +90,76 @@
                 raise StorageError(f"{path}: {why}")
         replace_file(self.path, storage.whole(storage.rebuilt(me, count, others).records()), 0o600)
 
-    def carry(self, orders: list[Append | Rewrite]) -> int:
-        """Carry out in order, so that all outlives a crash; the last serial. Raises OSError: then nobody knows what
-        is on disk (a failed fsync may have dropped it), and the process must end."""
+    def carry(self, orders: list[Write]) -> tuple[int, int]:
+        """Carry out in order, so that all outlives a crash; the serial of the last write, and that of a fold whose
+        file is in place now, 0: none. Raises OSError: then nobody knows what is on disk (a failed fsync may have
+        dropped it), and the process must end."""
+        last = placed = 0
         for order in orders:
-            if isinstance(order, Rewrite):
-                replace_file(self.path, storage.whole(order.records), 0o600)
-                os.close(self.fd)
-                self.fd = os.open(self.path, os.O_WRONLY | os.O_APPEND | os.O_CLOEXEC)
-            else:
-                data = memoryview(storage.pack(order.records))
-                while data:
-                    data = data[os.write(self.fd, data) :]
+            match order:
+                case Append():
+                    self.size += _write(self.fd, storage.pack(order.records))
+                    last = order.serial
+                case Rewrite():
+                    self._rewrite(order)
+                    last = order.serial
+                case Fold():
+                    self.fold, self.from_ = order, self.size
+                case Place() if self.fold is order.fold:
+                    self._place()
+                    placed = order.fold.serial
+                case Place():
+                    pass  # a Rewrite came between
         os.fdatasync(self.fd)
-        return orders[-1].serial
+        return last, placed
+
+    def _rewrite(self, order: Rewrite) -> None:
+        data = storage.whole(order.records)
+        replace_file(self.path, data, 0o600)
+        os.close(self.fd)
+        self.fd = os.open(self.path, os.O_WRONLY | os.O_APPEND | os.O_CLOEXEC)
+        self.size, self.fold = len(data), None
+
+    def make(self, fold: Fold) -> None:
+        """Write the file that a fold asks for, beside the one that is appended to; it may run beside ``carry``, and
+        once at a time. Raises OSError."""
+        flags = os.O_WRONLY | os.O_CREAT | os.O_TRUNC | os.O_APPEND | os.O_CLOEXEC
+        if self.half_fd >= 0:  # a Rewrite ended the one before
+            os.close(self.half_fd)
+        self.half_fd = os.open(self.half, flags, 0o600)
+        for piece in storage.whole_in_pieces(fold.records):
+            if self.fold is not fold:
+                return
+            _write(self.half_fd, piece)  # others get their turn in each
+        os.fsync(self.half_fd)  # so that little is left for ``_place``
+
+    def _place(self) -> None:
+        with open(self.path, "rb") as old:
+            old.seek(self.from_)
+            while data := old.read(COPIED):
+                _write(self.half_fd, data)
+        os.fsync(self.half_fd)
+        os.replace(self.half, self.path)
+        folder = os.open(self.path.parent, os.O_RDONLY)
+        try:
+            os.fsync(folder)
+        finally:
+            os.close(folder)
+        os.close(self.fd)
+        self.fd, self.half_fd, self.fold = self.half_fd, -1, None
+        self.size = os.fstat(self.fd).st_size
 
     def close(self) -> None:
-        with contextlib.suppress(OSError):
-            if self.fd >= 0:
-                os.close(self.fd)
+        for fd in (self.fd, self.half_fd):
+            with contextlib.suppress(OSError):
+                if fd >= 0:
+                    os.close(fd)
         self.lock.close()
+
+
+def _write(fd: int, data: bytes) -> int:
+    """All of it; how many bytes."""
+    rest = memoryview(data)
+    while rest:
+        rest = rest[os.write(fd, rest) :]
+    return len(data)
--- a/rushweir/daemon/control_process.py
+++ b/rushweir/daemon/control_process.py
@@ -2,7 +2,7 @@
 
 On its listening address two paths are served: ``/control`` for the other control processes, ``/watch`` for ingresses,
 by whoever was given as ``sessions``. Of two processes the one with the higher number dials. Operators come by a Unix
-socket (control_operators.py). Writes are done in a thread, all that wait at once, with one fsync.
+socket (control_operators.py). Writes are control_disk.py's.
 """
 
 from __future__ import annotations
@@ -15,14 +15,16 @@
 from typing import Any, Protocol
 
 from rushweir.config.control import ControlConfig
+from rushweir.daemon.control_disk import Disk
 from rushweir.daemon.control_files import ControlFiles
 from rushweir.daemon.control_wires import Dials, Served
 from rushweir.daemon.notify import notify
+from rushweir.ingress.shell import calm_collector
 from rushweir.link import rpc
 from rushweir.link.upstream import Upstream
 from rushweir.rollout.control import Control
 from rushweir.rollout.control_mail import MOST_TEXT, NONCE, OPEN, READY, Mail, MailError
-from rushweir.rollout.orders import Answered, Append, Committed, Jumped, Note, Objects, Rewrite, Send
+from rushweir.rollout.orders import Answered, Append, Committed, Fold, Jumped, Note, Objects, Rewrite, Send
 from rushweir.rollout.steps import Change, Step
 
 PAUSE_MS, CONNECT_MS, PING_MS = (100.0, 1_000.0), 1_000.0, 1_000.0
@@ -178,18 +180,17 @@
         sessions: Sessions | None = None,
     ) -> None:  # fmt: skip
         """``log(level, cause, **fields)`` takes a line."""
-        self.config, self.files, self.clock, self.log, self.sessions = config, files, clock, log, sessions
+        self.config, self.clock, self.log, self.sessions = config, clock, log, sessions
+        self.disk = Disk(files, self)
         self.core = Control(config.me, config.count, files.kept, secrets.randbits(63), clock())
         self.lines: dict[int, Line] = {}
         self.watchers: dict[int, Served] = {}
         self.watchers_serial = self.tickets = 0
         self.answers: dict[int, asyncio.Future[Answered]] = {}
         self.forwarded: dict[int, tuple[int, asyncio.Future[Answered]]] = {}  # by ticket: whom it was given to
-        self.writes: list[Append | Rewrite] = []
-        self.writing: asyncio.Task | None = None
         self.timer: asyncio.TimerHandle | None = None
         self.ending = asyncio.Event()
-        self.failed = self.carrying = False
+        self.carrying = False
         self.wires: set[Served] = set()
         self.tasks: set[asyncio.Task] = set()
 
@@ -203,6 +204,7 @@
         dials = Dials(self.clock)
         self.core.start(self.clock())
         self.carry_out()
+        calm_collector()  # else it walks through all objects and entries now and then, for 60 ms with 25,300
         paths: dict[str, Callable] = {"/control": lambda wire: Line(self, wire.send, wire.close)}
         if self.sessions is not None:
             paths["/watch"] = lambda wire: Watcher(self, wire)
@@ -224,10 +226,8 @@
             for wire in list(self.wires):
                 if wire.transport is not None:
                     wire.transport.abort()
-            if self.writing is not None:
-                await asyncio.wait([self.writing])
-            self.files.close()
-        return 1 if self.failed else 0
+            await self.disk.close()
+        return 1 if self.disk.failed else 0
 
     # --- other control processes -----------------------------------------------------------------
 
@@ -322,16 +322,15 @@
             self.sessions.set_current(self.clock(), self.core.status(self.clock())["majority"])
             self._carry_sessions()
         self._set_timer()
-        if self.writes and self.writing is None:
-            self.writing = asyncio.get_running_loop().create_task(self._write())
+        self.disk.go()
 
     def _carry(self, order: Any) -> None:
         match order:
             case Send():
                 if (line := self.lines.get(order.peer)) is not None:
                     line.send(order.body)
-            case Append() | Rewrite():
-                self.writes.append(order)
+            case Append() | Rewrite() | Fold():
+                self.disk.add(order)
             case Answered():
                 if (future := self.answers.pop(order.ticket, None)) is not None and not future.done():
                     future.set_result(order)
@@ -344,20 +343,17 @@
             case Jumped() if self.sessions is not None:
                 self.sessions.jumped(self.clock(), order.number, order.objects)
 
-    async def _write(self) -> None:
-        """All that waits, with one fsync, until nothing waits."""
-        try:
-            while self.writes:
-                orders, self.writes = self.writes, []
-                serial = await asyncio.to_thread(self.files.carry, orders)
-                self.core.kept(self.clock(), serial)
-                self.carry_out()
-        except OSError as problem:
-            self.log("error", "disk_failed", path=str(self.files.path), why=str(problem))
-            self.failed = True
-            self.ending.set()
-            return  # nothing is written behind it any more
-        self.writing = None
+    def kept(self, serial: int) -> None:
+        self.core.kept(self.clock(), serial)
+        self.carry_out()
+
+    def folded(self, serial: int) -> None:
+        self.core.folded(self.clock(), serial)
+        self.carry_out()
+
+    def disk_failed(self, problem: OSError) -> None:
+        self.log("error", "disk_failed", path=str(self.disk.files.path), why=str(problem))
+        self.ending.set()
 
     def _set_timer(self) -> None:
         times = [self.core.next_at(), self.sessions.next_at() if self.sessions is not None else None]
--- a/rushweir/lab/sim/control_days.py
+++ b/rushweir/lab/sim/control_days.py
@@ -68,12 +68,12 @@
 
     def __init__(
         self, seed: int, size: Size = SIZE, script: list[Fault] | None = None, make: Make = make,
-        believe: bool = False,
+        believe: bool = False, disk: dict[str, bool] | None = None,
     ) -> None:  # fmt: skip
         super().__init__()
         self.size, self.script = size, draw(seed, size) if script is None else script
         self.world = World(seed)
-        self.controls = Controls(self.world, size.count, make, believe)
+        self.controls = Controls(self.world, size.count, make, believe, disk)
         self.majority = size.count // 2 + 1
         self.truth: dict[int, Step] = {}  # what was told to be in force, by number
         self.told: dict[Process, int] = {}  # the newest number of each life
--- a/rushweir/lab/sim/control_plants.py
+++ b/rushweir/lab/sim/control_plants.py
@@ -4,6 +4,8 @@
 ``older_term``: a leader puts an entry of an older term in force by counting. ``lone``: a leader's own disk is a
 majority. ``sure``: a leader never steps down. ``no_base``: nobody looks at what a change was made on. ``trusting``:
 an older copy of a disk takes part. ``believed``: a torn end is taken for what it was to be, and written behind.
+``restless``: the log is folded on while its file is being made. ``forgetful``: a fold's file lacks what was written
+while it was made. ``over``: a fold's file takes its place though the whole came from the leader meanwhile.
 """
 
 from __future__ import annotations
@@ -13,6 +15,7 @@
 
 from rushweir.lab.sim.control_world import BOUNDS
 from rushweir.rollout.control import Control
+from rushweir.rollout.control_fold import RESTING, Folding
 from rushweir.rollout.control_follow import Follower
 from rushweir.rollout.control_proposals import Proposals
 from rushweir.rollout.orders import Send
@@ -78,9 +81,22 @@
         return
 
 
+class RestlessFolding(Folding):
+    def turn(self) -> None:
+        self.state = RESTING
+        super().turn()
+
+
+class Restless(Control):
+    def __init__(self, *given: Any, **named: Any) -> None:
+        super().__init__(*given, **named)
+        self.folding = RestlessFolding(self)
+
+
 KINDS = {
     "hasty_vote": HastyVote, "hasty_answer": HastyAnswer, "older_term": OlderTerm, "lone": Lone, "sure": Sure,
-    "no_base": NoBase, "trusting": Trusting, "believed": Control,
+    "no_base": NoBase, "trusting": Trusting, "believed": Control, "restless": Restless, "forgetful": Control,
+    "over": Control,
 }  # fmt: skip
 
 
@@ -90,4 +106,5 @@
     def make(me: int, count: int, kept: Kept, seed: int, now: float) -> Control:
         return KINDS[kind](me, count, kept, seed, now, bounds=BOUNDS)
 
-    return {"make": make, "believe": kind == "believed"}
+    disk = {"forget": kind == "forgetful", "over": kind == "over"}
+    return {"make": make, "believe": kind == "believed", "disk": disk}
--- a/rushweir/lab/sim/control_world.py
+++ b/rushweir/lab/sim/control_world.py
@@ -16,10 +16,11 @@
 from rushweir.rollout import storage
 from rushweir.rollout.control import Control
 from rushweir.rollout.log import Bounds
-from rushweir.rollout.orders import Append, Rewrite, Send
+from rushweir.rollout.orders import Append, Fold, Rewrite, Send
 from rushweir.rollout.steps import Change
 from rushweir.rollout.storage import Kept
 
+MAKE_MS = ((1.0, 400.0), (400.0, 4_000.0), (4_000.0, 20_000.0))  # until the file that a fold asked for is made
 RELINK_MS = (20.0, 600.0)  # until a stream stands again
 BOUNDS = Bounds(entries=12, bytes=100_000, part=60, message=1)  # so small that a day has folds and many messages
 Make = Callable[[int, int, Kept, int, float], Control]
@@ -35,6 +36,7 @@
     def __init__(self, core: Control) -> None:
         self.core, self.orders = core, core.orders
         self.start, self.next_at, self.advance, self.kept = core.start, core.next_at, core.advance, core.kept
+        self.folded = core.folded
 
     def datagram(self, now: float, data: Any) -> None:
         source, body = data
@@ -121,40 +123,82 @@
                 self._on_its_way(a, b)
 
 
+@dataclass(slots=True)
+class Place:
+    """The file that a fold asked for is made."""
+
+    fold: Fold
+
+
 @dataclass(slots=True)
 class Disk:
-    """What would be there after a kill, and what is being written."""
+    """What would be there after a kill, and what is being written. Whole files are made when they are written, as the
+    shell does it, so that it shows what was changed meanwhile; what they are to be is noted when they are asked for.
+    """
 
     data: bytes
-    writing: deque[tuple[int, bytes, bool]] = field(default_factory=deque)  # serial, bytes, all or behind
+    forget: bool = False  # planted: a fold's file lacks what was written meanwhile
+    over: bool = False  # planted: a fold's file takes its place though another whole came between
+    writing: deque[tuple[Append | Rewrite | Fold | Place, bytes]] = field(default_factory=deque)
     free_at: float = 0.0
+    fold: Fold | None = None
+    wanted: bytes = b""  # the fold's file, as it was asked for
+    from_: int = 0  # what the fold replaces ends there
     copies: list[bytes] = field(default_factory=list)  # older ones
 
-    def done(self) -> int:
-        """The next write is on disk; its serial."""
-        serial, data, whole = self.writing.popleft()
-        self.data = data if whole else self.data + data
-        return serial
+    def asked(self, order: Append | Rewrite | Fold | Place) -> None:
+        data = b""
+        if not isinstance(order, Place):
+            data = (storage.pack if isinstance(order, Append) else storage.whole)(order.records)
+        self.writing.append((order, data))
+
+    def done(self) -> Append | Rewrite | Fold | Place | None:
+        """The next of it is on disk; None: a fold's file that is wanted no more."""
+        order, data = self.writing.popleft()
+        match order:
+            case Append():
+                self.data += data
+            case Rewrite():
+                self._same(order, data)
+                self.data, self.fold = data, None
+            case Fold():
+                self.fold, self.wanted, self.from_ = order, data, len(self.data)
+            case Place() if self.fold is order.fold or self.over:
+                made = self.wanted if self.fold is order.fold else storage.whole(order.fold.records)
+                self._same(order.fold, made)
+                self.data, self.fold = made + (b"" if self.forget else self.data[self.from_ :]), None
+            case Place():
+                return None
+        return order
+
+    @staticmethod
+    def _same(order: Rewrite | Fold, asked: bytes) -> None:
+        if storage.whole(order.records) != asked:
+            raise Broken("what a whole file is made of was changed before it was written")
 
     def crash(self, rng: Any) -> None:
         """Some of what was being written is there, the next of it perhaps in part: a whole file is all or nothing."""
         for _ in range(rng.randint(0, len(self.writing))):
             self.done()
         if self.writing:
-            _, data, whole = self.writing.popleft()
-            if not whole:
+            order, data = self.writing.popleft()
+            if isinstance(order, Append):
                 self.data += data[: rng.randrange(len(data))]
         self.writing.clear()
+        self.fold = None
 
 
 class Controls:
     """``count`` control processes in a world."""
 
-    def __init__(self, world: World, count: int, make: Make = make, believe: bool = False) -> None:
-        """``believe``: a planted fault: a torn end is not cut off before more is written behind it."""
+    def __init__(
+        self, world: World, count: int, make: Make = make, believe: bool = False, disk: dict[str, bool] | None = None
+    ) -> None:
+        """``believe``: a planted fault: a torn end is not cut off before more is written behind it. ``disk``: others,
+        as Disk has them."""
         self.world, self.count, self.make, self.believe = world, count, make, believe
         self.streams = Streams(world, count)
-        self.disks = {k: Disk(storage.whole(Kept(k, count).records())) for k in range(count)}
+        self.disks = {k: Disk(storage.whole(Kept(k, count).records()), **(disk or {})) for k in range(count)}
         world.watchers.append(self._order)
         self.lives = dict.fromkeys(range(count), 0)
 
@@ -199,22 +243,33 @@
     def _order(self, p: Process, order: Any) -> None:
         if isinstance(order, Send):
             self.streams.send(p.name, order.peer, order.body)
-        elif isinstance(order, Append | Rewrite):
-            disk, whole = self.disks[p.name], isinstance(order, Rewrite)
-            disk.writing.append((order.serial, (storage.whole if whole else storage.pack)(order.records), whole))
-            disk.free_at = max(disk.free_at, self.world.now) + self.world.rng.uniform(*DISK_MS)
-            self.world.later(disk.free_at - self.world.now, self._written, p)
+        elif isinstance(order, Append | Rewrite | Fold):
+            self._asked(p, order)
+
+    def _asked(self, p: Process, order: Append | Rewrite | Fold | Place) -> None:
+        if not p.up:
+            return
+        disk = self.disks[p.name]
+        disk.asked(order)
+        disk.free_at = max(disk.free_at, self.world.now) + self.world.rng.uniform(*DISK_MS)
+        self.world.later(disk.free_at - self.world.now, self._written, p)
 
     def _written(self, p: Process) -> None:
         """A stop holds the process, not its disk; it is told when it goes on."""
         if not p.up:
             return
-        serial = self.disks[p.name].done()
-        self._told(p, serial)
-
-    def _told(self, p: Process, serial: int) -> None:
+        match self.disks[p.name].done():
+            case Fold() as fold:
+                ms = self.world.rng.uniform(*self.world.rng.choice(MAKE_MS))
+                self.world.later(ms, self._asked, p, Place(fold))
+            case Place(fold):
+                self._told(p, p.core.folded, fold.serial)
+            case Append() | Rewrite() as write:
+                self._told(p, p.core.kept, write.serial)
+
+    def _told(self, p: Process, what: Callable[[float, int], None], serial: int) -> None:
         if p.up and p.stopped:
-            self.world.later(5.0, self._told, p, serial)
+            self.world.later(5.0, self._told, p, what, serial)
         elif p.up:
-            p.core.kept(p.clock(self.world.now), serial)
+            what(p.clock(self.world.now), serial)
             self.world._turned(p)
--- a/rushweir/lab/sim/rollout_days.py
+++ b/rushweir/lab/sim/rollout_days.py
@@ -2,7 +2,9 @@
 
     python -m rushweir.lab.sim.rollout_days --days 500 --first 0 --jobs 1
 
-plays that many days of some sixty ingresses, and with ``--large`` days of 700; it ends with 1 if any broke.
+plays that many days of some sixty ingresses, and with ``--large`` days of 700; ``--hard`` plays days of 700 with 100
+changes a second for a minute, in the midst of which all are killed and come back at once, and again in a calm. It
+ends with 1 if any broke.
 """
 
 from __future__ import annotations
@@ -12,6 +14,8 @@
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
+from multiprocessing import get_context
 from typing import Any
 
 from rushweir.lab.sim.fleets import Broken
@@ -44,6 +48,8 @@
 SHORT = Size()
 SHORTEST = Size(ingresses=36, objects=100, length_ms=38_000.0, faults=7, burst=60)
 LARGE = Size(ingresses=700, objects=2_000, length_ms=150_000.0, burst=6_000, sample=0.02)
+HARD = Size(ingresses=700, objects=2_000, length_ms=95_000.0, burst=6_000, sample=0.02)
+HARD_SCRIPT: Script = [(8_000.0, "burst", (0, 0.0)), (35_000.0, "all", (0, 4_000.0)), (80_000.0, "all", (0, 4_000.0))]
 FAULTS = (
     "kill", "kill", "rack", "zone", "zone", "regions", "regions", "control", "control", "control_alone", "all",
     "burst", "alter", "double", "swap", "refuser", "replace", "foreign", "large", "one_way_off",
@@ -272,27 +278,42 @@
     return ""
 
 
+def played(seed: int, size: Size) -> tuple[int, str, Counter[str]]:
+    """A day: its seed, what broke, and counts of what it had."""
+    day, broke = Day(seed, size, HARD_SCRIPT if size == HARD else draw(seed, size)), ""
+    try:
+        day.play()
+    except Broken as problem:
+        broke = f"{day.world.now / 1000:.1f} s: {problem}"
+    counts = Counter[str](day.world.counts)
+    counts.update(changes=len(day.world.log), days=1, applied=len(day.world.latest))
+    counts["latest_ms"] = round(max(day.world.latest, default=0))
+    return seed, broke, counts
+
+
 def main() -> int:
     parser = argparse.ArgumentParser(description=(__doc__ or "").splitlines()[0])
     parser.add_argument("--days", type=int, default=500)
     parser.add_argument("--first", type=int, default=0)
+    parser.add_argument("--jobs", type=int, default=1, help="days that are played at once, each in a process")
     parser.add_argument("--large", action="store_true")
+    parser.add_argument("--hard", action="store_true")
     given = parser.parse_args()
-    size, broke, counts = LARGE if given.large else SHORT, 0, Counter[str]()
-    for seed in range(given.first, given.first + given.days):
-        day = Day(seed, size, draw(seed, size))
-        try:
-            day.play()
-        except Broken as problem:
-            broke += 1
-            print(f"day {seed}: {day.world.now / 1000:.1f} s: {problem}", flush=True)
-        counts.update(day.world.counts)
-        counts.update(changes=len(day.world.log), days=1, applied=len(day.world.latest))
-        counts["latest_ms"] = max(counts["latest_ms"], round(max(day.world.latest, default=0)))
-        if given.large:
-            print(f"day {seed}: {dict(counts)}", flush=True)
-    print(f"{given.days} days, {broke} broke: {dict(counts)}")
-    return 1 if broke else 0
+    size = HARD if given.hard else LARGE if given.large else SHORT
+    seeds, play = range(given.first, given.first + given.days), partial(played, size=size)
+    broken, latest, counts = 0, 0, Counter[str]()
+    # Each day in a process of its own: a large one leaves hundreds of MB behind.
+    with get_context("spawn").Pool(given.jobs, maxtasksperchild=20 if size is SHORT else 1) as pool:
+        for seed, broke, of_day in pool.imap_unordered(play, seeds):
+            latest = max(latest, of_day.pop("latest_ms"))
+            counts.update(of_day)
+            broken += bool(broke)
+            if broke:
+                print(f"day {seed}: {broke}", flush=True)
+            if size is not SHORT or counts["days"] % 25 == 0:
+                print(f"{counts['days']} days, {broken} broke, latest {latest} ms: {dict(counts)}", flush=True)
+    print(f"{given.days} days, {broken} broke, latest {latest} ms: {dict(counts)}")
+    return 1 if broken else 0
 
 
 if __name__ == "__main__":
--- a/rushweir/rollout/control.py
+++ b/rushweir/rollout/control.py
@@ -20,6 +20,7 @@
 from dataclasses import dataclass
 from typing import Any
 
+from rushweir.rollout.control_fold import Folding
 from rushweir.rollout.control_follow import Follower
 from rushweir.rollout.control_messages import HANDLERS
 from rushweir.rollout.control_peers import Peer
@@ -86,6 +87,7 @@
         self.stale: set[int] = set()  # whose disk is an older copy, until it comes with another
         self.outdated = kept.old > 0  # its disk is an older copy
         self.election = Election(self, kept.term, kept.voted)
+        self.folding = Folding(self)
         self.follower = Follower(self)
         self.proposals = Proposals(self)
         self.peers: dict[int, Peer] = {}  # of a leader
@@ -120,6 +122,8 @@
         """When ``advance`` is to be called; None: never."""
         if self.outdated:
             return None
+        if self.folding.goes_on:
+            return self.now
         if self.election.role is LEADER:
             return min((*(p.beat_at for p in self.peers.values()), self._quorum_at()), default=None)
         return self.election.due
@@ -133,6 +137,7 @@
         for p in self.peers.values():
             p.tick()
         self._keep_commit(self.commit)
+        self.folding.turn()
 
     def _quorum_at(self) -> float:
         """Until when this leader may believe that it leads: an election time after it asked the last of a majority
@@ -238,7 +243,8 @@
         if self.heard != self.heard_kept:
             records = [["heard", *self.heard], *records]
             self.heard_kept = list(self.heard)
-        self._write(Append, records, term)
+        self.position += 1
+        self._order(Append, (*records, ["at", self.position]), term)
 
     def _keep_commit(self, before: int) -> None:
         """What is in force goes along with the next write; in a quiet time it gets one of its own, so that a process
@@ -251,11 +257,10 @@
         self.keep([["term", self.term, self.election.voted]], self.term)
         self.hard = self.serial
 
-    def _write(self, order: type, records: list[list[Any]], term: int | None = None) -> None:
+    def _order(self, order: type, records: Any, term: int | None = None) -> None:
         self.serial += 1
-        self.position += 1
         self.writes.append(Write(self.serial, self.position, self.log.last, term))
-        self.orders.append(order(self.serial, (*records, ["at", self.position])))
+        self.orders.append(order(self.serial, records))
 
     def kept(self, now: float, serial: int) -> None:
         """What was asked with this serial, and all before it, outlives a crash now."""
@@ -264,6 +269,7 @@
         while self.writes and self.writes[0].serial <= serial:
             w = self.writes.popleft()
             self.on_disk, self.told_position, self.durable = w.serial, w.position, max(self.durable, w.last)
+            self.folding.kept(w.serial)
             if w.term is not None:
                 self.election.voted_on_disk(w.term)
         while self.held and self.held[0][0] <= self.on_disk:
@@ -274,6 +280,11 @@
             elif self.leader != NOBODY:
                 self.follower.answer(self.leader)
 
+    def folded(self, now: float, serial: int) -> None:
+        """The file that a ``Fold`` with this serial asked for is in place."""
+        self.now = now
+        self.folding.done(serial)
+
     def cut(self, index: int) -> None:
         """This entry and those behind it are another's now."""
         self.log.cut(index)
@@ -291,15 +302,17 @@
         self.objects = dict(base.objects)
         self.bytes = sum(size(k, data) for k, (_, data) in self.objects.items())
         self.number, self.commit = base.number, base.index
-        self._rewrite()
+        self.position += 1
+        self._order(Rewrite, self.whole())
+        self.folding.replaced(self.serial)
+        self.known = self.commit
 
-    def _rewrite(self) -> None:
-        kept = Kept(
+    def whole(self) -> Kept:
+        """All that is to be on disk by now."""
+        return Kept(
             self.me, self.count, self.term, self.election.voted, self.position, self.commit, tuple(self.heard),
-            base=self.log.base, entries=self.log.entries,
+            base=self.log.base, entries=list(self.log.entries),
         )  # fmt: skip
-        self._write(Rewrite, list(kept.records()))
-        self.known = self.commit
 
     # --- what is in force ------------------------------------------------------------------------
 
@@ -343,8 +356,7 @@
                 if tell:
                     self.orders.append(Committed(e.step))
         self.proposals.in_force(index)
-        if self.log.full() and self.log.fold(self.commit):
-            self._rewrite()
+        self.folding.turn()
 
     # --- those who ask ---------------------------------------------------------------------------
 
--- a/rushweir/rollout/control_peers.py
+++ b/rushweir/rollout/control_peers.py
@@ -13,7 +13,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
-from rushweir.rollout.storage import parts
+from rushweir.rollout.storage import Parts
 
 if TYPE_CHECKING:
     from rushweir.rollout.control import Control
@@ -28,7 +28,7 @@
     index: int
     term: int
     number: int
-    parts: list[list[list[Any]]]
+    parts: Parts
     next: int = 0
     sent_at: float = 0.0
 
@@ -63,7 +63,7 @@
         log = self.control.log
         if self.whole is None and self.next <= log.base.index:
             b = log.base
-            self.whole = Whole(b.index, b.term, b.number, parts(b, log.bounds.part))
+            self.whole = Whole(b.index, b.term, b.number, Parts(b, log.bounds.part))
             self._send_part(self.whole)
         if self.whole is not None:
             if beat:  # an entry's place that it can't have: it answers, and that is all that is wanted
@@ -93,8 +93,8 @@
     def _send_part(self, w: Whole) -> None:
         c = self.control
         w.sent_at = c.now
-        last = w.next == len(w.parts) - 1
-        c.tell(self.id, "part", w.index, w.term, w.number, w.next, last, w.parts[w.next], c.now)
+        rows = w.parts.rows(w.next)
+        c.tell(self.id, "part", w.index, w.term, w.number, w.next, w.parts.is_last(w.next), rows, c.now)
 
     # --- answers ---------------------------------------------------------------------------------
 
@@ -113,7 +113,7 @@
     def part_answered(self, index: int, wanted: int, sent_at: float) -> None:
         self._heard(sent_at)
         w = self.whole
-        if w is not None and w.index == index and 0 <= wanted < len(w.parts) and wanted != w.next:
+        if w is not None and w.index == index and 0 <= wanted < w.parts.known and wanted != w.next:
             w.next = wanted
             self._send_part(w)
 
--- a/rushweir/rollout/log.py
+++ b/rushweir/rollout/log.py
@@ -137,19 +137,30 @@
     def full(self) -> bool:
         return len(self.entries) > 2 * self.bounds.entries or self.bytes > 2 * self.bounds.bytes
 
-    def fold(self, applied: int) -> bool:
-        """Fold what is in force and beyond the bounds into the base; whether there was anything."""
+    def beyond(self, applied: int) -> int:
+        """How many entries are in force and beyond the bounds; 0 or less: none."""
         k, room = applied - self.base.index, self.bounds.bytes
         for n in range(k - 1, max(-1, k - 1 - self.bounds.entries), -1):
             room -= len(self.entries[n].data)
             if room < 0:
                 break
             k = n
-        if k <= 0:
+        return k
+
+    def fold(self, applied: int, most: int | None = None) -> bool:
+        """Fold what is in force and beyond the bounds into the base; whether there was anything. ``most``: entries
+        with so many changes at once, and one entry more; the base is whole after each such slice."""
+        beyond = self.beyond(applied)
+        if beyond <= 0:
             return False
-        for e in self.entries[:k]:
-            if e.step is not None:
-                apply(self.base.objects, e.step)
+        k = room = 0
+        while k < beyond and (most is None or room < most):
+            step = self.entries[k].step
+            if step is not None:
+                apply(self.base.objects, step)
+                room += len(step.changes)
+            room += 1  # an empty one takes its moment, too
+            k += 1
         last = self.entries[k - 1]
         self.base.index, self.base.term, self.base.number = self.base.index + k, last.term, last.number
         self.bytes -= sum(len(e.data) for e in self.entries[:k])
--- a/rushweir/rollout/orders.py
+++ b/rushweir/rollout/orders.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -29,10 +30,21 @@
 
 @dataclass(slots=True)
 class Rewrite:
-    """Replace the whole log by these records, atomically, then say ``kept`` with the serial."""
+    """Replace the whole log by these records, atomically, then say ``kept`` with the serial. They are made while they
+    are read, beside the loop if one likes: what they are made of stays as it is until then."""
 
     serial: int
-    records: tuple[list[Any], ...]
+    records: Iterable[list[Any]]
+
+
+@dataclass(slots=True)
+class Fold:
+    """Make the file anew, shorter, when it suits: these records, and behind them all that was asked for after this
+    serial. Nothing waits for it, and whoever is killed before has lost nothing. Say ``folded`` with the serial when
+    the new file is in place. A ``Rewrite`` after it ends it. The records are made as a Rewrite's."""
+
+    serial: int
+    records: Iterable[list[Any]]
 
 
 @dataclass(slots=True)
@@ -73,4 +85,4 @@
     fields: dict[str, Any] = field(default_factory=dict)
 
 
-Order = Send | Append | Rewrite | Committed | Jumped | Answered | Note
+Order = Send | Append | Rewrite | Fold | Committed | Jumped | Answered | Note
--- a/rushweir/rollout/storage.py
+++ b/rushweir/rollout/storage.py
@@ -17,6 +17,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -28,7 +29,8 @@
 
 VERSION = 1
 FRAMES = Frames(b"RWSTEPS" + bytes([VERSION]), 4 * MOST_STEP)
-Records = tuple[list[Any], ...]
+Records = Iterable[list[Any]]
+WRITTEN = 65_536  # bytes of a file that are made at once, and one record more
 
 
 class StorageError(ValueError):
@@ -55,31 +57,55 @@
     def last(self) -> int:
         return self.base.index + len(self.entries)
 
-    def records(self) -> Records:
-        """The whole of it, as a file begins."""
-        return (
-            ["of", self.me, self.count],
-            ["at", self.position],
-            ["term", self.term, self.voted],
-            *(["part", *rows] for rows in parts(self.base)),
-            ["base", self.base.index, self.base.term, self.base.number, len(self.base.objects)],
-            *(["entry", self.base.index + k, e.term, e.data] for k, e in enumerate(self.entries, 1)),
-            ["in", self.committed],
-            ["heard", *self.heard],
-        )
-
+    def records(self) -> Iterator[list[Any]]:
+        """The whole of it, as a file begins; each is made when it is asked for, of what there is then."""
+        yield ["of", self.me, self.count]
+        yield ["at", self.position]
+        yield ["term", self.term, self.voted]
+        parts, k = Parts(self.base, WRITTEN), 0
+        while k < parts.known:
+            yield ["part", *parts.rows(k)]
+            k += 1
+        yield ["base", self.base.index, self.base.term, self.base.number, len(self.base.objects)]
+        for k, e in enumerate(self.entries, 1):
+            yield ["entry", self.base.index + k, e.term, e.data]
+        yield ["in", self.committed]
+        yield ["heard", *self.heard]
+
+    def __iter__(self) -> Iterator[list[Any]]:
+        return self.records()
+
+
+class Parts:
+    """The objects of a base, as they are now, in pieces that fit into messages and records. Where a piece ends is
+    found when it is made: to list all of many objects at once would hold a turn of the loop for long."""
+
+    def __init__(self, base: Base, most: int = BOUNDS.part) -> None:
+        """Pieces of ``most`` bytes, and one more object."""
+        self.items, self.most = list(base.objects.items()), most
+        self.begins = [0]  # of each piece that is known
 
-def parts(base: Base, most: int = BOUNDS.part) -> list[list[list[Any]]]:
-    """The objects of a base in pieces that fit into messages and records, of ``most`` bytes and one more object."""
-    found: list[list[list[Any]]] = [[]]
-    room = most
-    for (kind, name), (version, data) in base.objects.items():
-        if room <= 0:
-            found.append([])
-            room = most
-        found[-1].append([kind, name, version, data])
-        room -= len(kind) + len(name) + len(data) + 16
-    return found
+    @property
+    def known(self) -> int:
+        """Pieces that can be asked for now: those that were, and the next."""
+        return len(self.begins) - (self.begins[-1] >= len(self.items) and len(self.begins) > 1)
+
+    def is_last(self, k: int) -> bool:
+        """Of one that was made."""
+        return self.begins[k + 1] >= len(self.items)
+
+    def rows(self, k: int) -> list[list[Any]]:
+        """The piece: kind, name, version and data of each object."""
+        found: list[list[Any]] = []
+        at, room = self.begins[k], self.most
+        while at < len(self.items) and room > 0:
+            (kind, name), (version, data) = self.items[at]
+            found.append([kind, name, version, data])
+            room -= len(kind) + len(name) + len(data) + 16
+            at += 1
+        if k + 1 == len(self.begins):
+            self.begins.append(at)
+        return found
 
 
 def pack(records: Records) -> bytes:
@@ -88,7 +114,18 @@
 
 def whole(records: Records) -> bytes:
     """A new file."""
-    return FRAMES.magic + pack(records)
+    return b"".join(whole_in_pieces(records))
+
+
+def whole_in_pieces(records: Records) -> Iterator[bytes]:
+    """A new file, some WRITTEN bytes at a time."""
+    piece = bytearray(FRAMES.magic)
+    for r in records:
+        piece += FRAMES.frame(msgpack.packb(r))
+        if len(piece) >= WRITTEN:
+            yield bytes(piece)
+            piece.clear()
+    yield bytes(piece)
 
 
 def read(data: bytes, me: int, count: int) -> Kept:
--- a/tests/rollout/test_control_core.py
+++ b/tests/rollout/test_control_core.py
@@ -12,7 +12,7 @@
 from rushweir.rollout.control_proposals import MOST_OPEN
 from rushweir.rollout.election import LEADER
 from rushweir.rollout.log import Bounds
-from rushweir.rollout.orders import Answered, Append, Committed, Jumped, Note, Rewrite, Send
+from rushweir.rollout.orders import Answered, Append, Committed, Fold, Jumped, Note, Rewrite, Send
 from rushweir.rollout.steps import MOST_OBJECT, Change
 from rushweir.rollout.storage import Kept, pack, read, whole
 
@@ -55,6 +55,9 @@
                 self.waiting.append((k, order.serial))
             else:
                 c.kept(self.now, order.serial)
+        elif isinstance(order, Fold):
+            self.disks[k] = whole(order.records)
+            c.folded(self.now, order.serial)
         else:
             self.seen.append((k, order))
 
--- a/tests/rollout/test_log_storage.py
+++ b/tests/rollout/test_log_storage.py
@@ -132,7 +132,13 @@
 @given(OBJECTS, st.integers(1, 500))
 def test_parts_make_the_whole_again(objects, room):
     base = Base(1, 8, 1, {("kind", name): (1, data) for name, data in objects.items()})
-    parts = storage.parts(base, room)
+    made, parts = storage.Parts(base, room), []
+    base.objects["kind", "later"] = (2, b"what comes later is no part of it")
+    while len(parts) < made.known:
+        parts.append(made.rows(len(parts)))
+        assert made.is_last(len(parts) - 1) == (len(parts) == made.known)
+    assert [made.rows(k) for k in range(made.known)] == parts  # asked for again
+    del base.objects["kind", "later"]
     rows = [r for part in parts for r in part]
     assert {(k, n): (v, d) for k, n, v, d in rows} == base.objects and len(rows) == len(base.objects)
     assert len(parts) == 1 or all(parts)
