--- a/rushweir/cli/serve.py
+++ b/rushweir/cli/serve.py
@@ -21,7 +21,11 @@
     inherited = None
     if take:
         if config.file.rollout is not None:
-            click.echo("--take-over: not with settings from control processes; restart it instead", err=True)
+            # Two processes would keep settings in one folder, and each would say what it acts on by the same name.
+            click.echo(
+                "--take-over: not with a rollout block, since one process alone may keep the settings; "
+                "stop the running one, then start this one: it serves at once from what was kept", err=True,
+            )  # fmt: skip
             return 1
         if config.file.control is None:
             click.echo("--take-over: the settings name no control socket", err=True)
