Tests of edge processes wait for the first list, and no port is given twice

Until then it answers 503, no_node, as docs/operators/edge.md promises. `Platform.ready` waits for health 200, for all three places that did or should. - test_many_that_start_at_once...: 16 ports were drawn by binding port 0 and closing, so that the system could give one of them again. Measured: of 200 groups of 15 draws 3 held a port twice. A connection that goes out as the taker is ruled out here: 500 of 500 got even ports, bind(0) 3,000 of 3,000 odd ones.

`end` kills a process, and tells code and words of one that had ended by itself; the sixteen must each say `started` themselves (before, a double's health was answered by another), and each is ended whatever became of the others.

--- a/rushweir/lab/stage.py
+++ b/rushweir/lab/stage.py
@@ -10,7 +10,6 @@
 
 import asyncio
 import contextlib
-import random
 import re
 import secrets
 import socket
@@ -24,6 +23,7 @@
 from rushweir.console.sessions import hash_password
 from rushweir.fronts.credentials import new_credential
 from rushweir.lab.day import Day
+from rushweir.lab.ports import free_port
 from rushweir.lab.records import Recorder, clock
 from rushweir.lab.standins.counter import CounterStandIn
 from rushweir.lab.standins.nodelist import NodeList, wall_offset_ms
@@ -31,8 +31,6 @@
 from rushweir.lab.workers import pack_day
 from rushweir.lab.written import facts, settings_text
 
-PORTS, PORT_TRIES = (12_000, 32_000), 100
-_ports = random.SystemRandom()  # several days at once on one machine draw different ones
 LISTENS = re.compile(r"ingress (\d+) listens on (ws://\S+?)(?:, peers on \S+:(\d+))?\s*$")
 
 
@@ -220,15 +218,3 @@
     def say(self, text: str) -> None:
         self.events.append((clock() - self.start_at, text))
         self.records.note("event", text=text)
-
-
-def free_port(kind: int = socket.SOCK_STREAM) -> int:
-    """A port that nobody has now, and that no connection is given by chance: below the range from which the system
-    gives its own. From within that range one in some hundred was taken before whoever was told of it listened.
-    Raises OSError where none is found."""
-    for _ in range(PORT_TRIES):
-        port = _ports.randrange(*PORTS)
-        with socket.socket(socket.AF_INET, kind) as sock, contextlib.suppress(OSError):
-            sock.bind(("127.0.0.1", port))
-            return port
-    raise OSError(f"no free port from {PORTS[0]} to {PORTS[1]}")
--- a/tests/edge/test_deploy.py
+++ b/tests/edge/test_deploy.py
@@ -5,7 +5,6 @@
 import os
 import re
 import shutil
-import socket
 import subprocess
 import sys
 import tomllib
@@ -15,6 +14,7 @@
 import orjson
 import pytest
 
+from rushweir.lab.ports import free_port
 from tests.edge.test_process import OPTIONS
 
 ROOT = Path(__file__).parents[2]
@@ -76,9 +76,7 @@
 
 def test_run_is_one_process_linked_against_the_c_library(copied):
     """The platform loads a library into it, and refuses it other programs: the shell gives way to the interpreter."""
-    with socket.create_server(("127.0.0.1", 0)) as free:
-        listen = f"127.0.0.1:{free.getsockname()[1]}"
-    page = {"listen": listen, "discovery": "127.0.0.1:9", "settings": OPTIONS}
+    page = {"listen": f"127.0.0.1:{free_port()}", "discovery": "127.0.0.1:9", "settings": OPTIONS}
     (copied / "config.json").write_bytes(orjson.dumps(page))
     env = {**os.environ, "EDGE_CONFIG": str(copied / "config.json")}
     process = subprocess.Popen(["/bin/sh", "-c", DEPLOY["run"]], cwd=copied, env=env, stderr=subprocess.PIPE)
--- a/tests/edge/test_process.py
+++ b/tests/edge/test_process.py
@@ -13,6 +13,7 @@
 
 from rushweir.edge.config import load
 from rushweir.edge.setup import setup
+from rushweir.lab.ports import free_port
 from tests.edge.conftest import answer, booking, request
 
 OPTIONS = {
@@ -26,6 +27,9 @@
 }  # fmt: skip
 
 
+HEALTH = b"GET /_health HTTP/1.1\r\nHost: x\r\n\r\n"
+
+
 class Standin:
     """A server whose answers the test gives: ``handle(head, writer)`` is awaited for each request."""
 
@@ -62,6 +66,15 @@
     )  # fmt: skip
 
 
+async def end(process, *codes):
+    """Kill it; one that has ended already, and with none of ``codes``, is told with what it said."""
+    if process.returncode is None:
+        process.kill()
+    code = await process.wait()
+    if code != -signal.SIGKILL and code not in codes:
+        raise AssertionError(f"the process had ended with {code}: {(await process.stderr.read()).decode()}")
+
+
 class Platform:
     """Discovery and one backend, and the process between them and the test."""
 
@@ -94,21 +107,22 @@
     async def start(self):
         self.backend = await Standin(self.backend_answer).open()
         self.discovery = await Standin(self.discovery_answer).open()
-        free = await asyncio.start_server(lambda r, w: None, "127.0.0.1", 0)
-        self.port = free.sockets[0].getsockname()[1]
-        free.close()
-        await free.wait_closed()
+        self.port = free_port()
         self.configure()
         self.process = await launch(self.path)
         await self.line("started")
-        while not (await self.ask(b"GET /_health HTTP/1.1\r\nHost: x\r\n\r\n")).startswith(b"HTTP/1.1 200"):
-            await asyncio.sleep(0.01)
+        await self.ready()
         return self
 
+    async def ready(self):
+        """It has a list with a backend that is ready. `started` comes before: until then it answers 503, `no_node`,
+        which is a promise that the request never ran."""
+        while not (await self.ask(HEALTH)).startswith(b"HTTP/1.1 200"):
+            await asyncio.sleep(0.01)
+
     async def restart(self, **more):
         """Killed, and started with more in its configuration."""
-        self.process.kill()
-        await self.process.wait()
+        await end(self.process)
         self.configure(**more)
         self.process = await launch(self.path)
 
@@ -134,11 +148,9 @@
         return asked
 
     async def close(self):
-        if self.process.returncode is None:
-            self.process.kill()
-        await self.process.wait()
         self.backend.close()
         self.discovery.close()
+        await end(self.process, 0)
 
 
 def with_platform(tmp, scenario):
@@ -240,7 +252,7 @@
         peers = [f"127.0.{2 + k // 250}.{1 + k % 250}:7946" for k in range(230)]
         await p.restart(known=page, peers=peers, limits=limits, settings=OPTIONS | {"instances": 230, "me": 7})
         assert (await p.line("started"))["backends"] == 1024
-        health = await p.ask(b"GET /_health HTTP/1.1\r\nHost: x\r\n\r\n")
+        health = await p.ask(HEALTH)
         assert health.startswith(b"HTTP/1.1 200") and b"'nodes_ready': 1024" in health
 
     with_platform(tmp_path, scenario)
@@ -252,6 +264,7 @@
     async def scenario(p):
         await p.restart(peers=["127.0.0.1:9", "127.0.0.2:9"], settings=OPTIONS | {"instances": 3})
         await p.line("started")
+        await p.ready()
         assert (await p.ask(booking("b1"))).startswith(b"HTTP/1.1 200 ")
 
     with_platform(tmp_path, scenario)
--- a/tests/edge/test_signals.py
+++ b/tests/edge/test_signals.py
@@ -13,8 +13,9 @@
 import orjson
 
 from rushweir.edge.setup import Budget
+from rushweir.lab.ports import free_port
 from tests.edge.conftest import booking, request
-from tests.edge.test_process import OPTIONS, Standin, launch, with_platform
+from tests.edge.test_process import HEALTH, OPTIONS, Standin, end, launch, with_platform
 
 
 async def loading(process):
@@ -28,15 +29,13 @@
     """The system's own answer to it is to end the process; handlers stood only once the loop ran."""
 
     async def scenario(p):
-        p.process.kill()
-        await p.process.wait()
+        await end(p.process)
         p.process = await launch(p.path)
         await loading(p.process)
         p.process.send_signal(signal.SIGHUP)
         await p.line("started")
         await p.line("reloaded")
-        while not (await p.ask(b"GET /_health HTTP/1.1\r\nHost: x\r\n\r\n")).startswith(b"HTTP/1.1 200"):
-            await asyncio.sleep(0.01)  # it began with no list
+        await p.ready()
         assert (await p.ask(request())).startswith(b"HTTP/1.1 200 ")
 
     with_platform(tmp_path, scenario)
@@ -44,8 +43,7 @@
 
 def test_sigterm_while_the_program_loads_ends_it_in_order(tmp_path):
     async def scenario(p):
-        p.process.kill()
-        await p.process.wait()
+        await end(p.process)
         p.process = await launch(p.path)
         await loading(p.process)
         p.process.send_signal(signal.SIGTERM)
@@ -118,8 +116,7 @@
     """The watch, a dial and a new client each find a descriptor; the limit is the system's own."""
 
     async def scenario(p):
-        p.process.kill()
-        await p.process.wait()
+        await end(p.process)
         down = p.discovery.port
         p.discovery.close()
         page = p.list()
@@ -166,26 +163,23 @@
         known = {"version": 1, "full": True, "servers": servers}
         ports, processes, began = [], [], time.monotonic()
         for k in range(16):
-            free = await asyncio.start_server(lambda r, w: None, "127.0.0.1", 0)
-            ports.append(free.sockets[0].getsockname()[1])
-            free.close()
+            ports.append(free_port())
             path = tmp_path / f"c{k}.json"
             page = {"listen": f"127.0.0.1:{ports[-1]}", "discovery": "127.0.0.1:9", "settings": OPTIONS}
             path.write_bytes(orjson.dumps(page | {"known": known}))
             processes.append(await launch(path))
         try:
-            for port in ports:
+            for port, process in zip(ports, processes, strict=True):
+                said = await process.stderr.readline()
+                assert b'"started"' in said, said  # itself, and not another on its port
                 p.port = port
-                while True:
-                    try:
-                        if (await p.ask(b"GET /_health HTTP/1.1\r\nHost: x\r\n\r\n")).startswith(b"HTTP/1.1 200"):
-                            break
-                    except OSError:
-                        await asyncio.sleep(0.01)
-            assert time.monotonic() - began < 10.0
+                while not (await p.ask(HEALTH)).startswith(b"HTTP/1.1 200"):
+                    await asyncio.sleep(0.01)
+            took = time.monotonic() - began
         finally:
-            for process in processes:
-                process.kill()
-                await process.wait()
+            # Each is ended whatever became of the others; one that had ended by itself fails the test with its words.
+            ends = await asyncio.gather(*(end(process) for process in processes), return_exceptions=True)
+        assert ends == [None] * len(processes), ends
+        assert took < 10.0
 
     with_platform(tmp_path, scenario)
--- a/tests/rollout/control_stage.py
+++ b/tests/rollout/control_stage.py
@@ -4,8 +4,6 @@
 
 import asyncio
 import contextlib
-import random
-import socket
 import sys
 from base64 import b64decode, b64encode
 from pathlib import Path
@@ -13,23 +11,13 @@
 
 import orjson
 
+from rushweir.lab.ports import free_port
+
 COUNT = 3
 ALL = (0, 1, 2)
 WITHIN_S = 30.0
 
 
-def free_ports() -> list[int]:
-    """Below those that systems give to connections that go out: a process that is down must find its own again."""
-    found: list[int] = []
-    while len(found) < COUNT:
-        port = random.randrange(20_000, 32_000)
-        with socket.socket() as sock, contextlib.suppress(OSError):
-            sock.bind(("127.0.0.1", port))
-            if port not in found:
-                found.append(port)
-    return found
-
-
 class Relay:
     """A stand-in for the way of one connection: it can hold what comes, and alter bytes."""
 
@@ -97,7 +85,7 @@
 
     async def up(self, *, keys: tuple[bytes, ...] = (b"k" * 32,) * COUNT, more: str = "") -> None:
         """``more``: lines of all their settings."""
-        ports = self.ports = free_ports()
+        ports = self.ports = [free_port() for _ in range(COUNT)]
         for a in range(COUNT):
             for b in range(a):
                 self.relays[a, b] = Relay(ports[b])
--- a/tests/rollout/test_control_watch.py
+++ b/tests/rollout/test_control_watch.py
@@ -3,8 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import random
-import socket
 from collections import deque
 from types import SimpleNamespace
 
@@ -17,6 +15,7 @@
 from rushweir.daemon.control_operators import Operators
 from rushweir.daemon.control_process import ControlProcess
 from rushweir.ingress.shell import Clock
+from rushweir.lab.ports import free_port
 from rushweir.rollout.steps import Change
 
 
@@ -74,17 +73,6 @@
                 await self.happened.wait()
 
 
-def free_port():
-    while True:
-        port = random.randrange(20_000, 32_000)
-        with socket.socket() as sock:
-            try:
-                sock.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-            return port
-
-
 async def played(folder, scene):
     config = ControlConfig(0, (("127.0.0.1", free_port()),), folder / "state", b"k" * 32, folder / "sock")
     stub = Stub()
