--- a/tests/daemon/test_daemon.py
+++ b/tests/daemon/test_daemon.py
@@ -1,4 +1,4 @@
-"""A daemon from start to end: its folder, its socket, reloads, handovers, and what may go wrong on the way."""
+"""A daemon from start to end: its folder, its socket, reloads, its end, and what may go wrong on the way."""
 
 from __future__ import annotations
 
@@ -14,10 +14,7 @@
 import termios
 from collections import Counter
 
-import pytest
-
 from rushweir.cli.ask import Daemon, NoDaemon, Refused
-from rushweir.daemon.handover import HandoverError, take_over
 from rushweir.fronts.credentials import digest
 from rushweir.lab.standins.client import kind
 from rushweir.lab.standins.model import NodeKind
@@ -360,75 +357,6 @@
     house(body)
 
 
-def test_a_successor_takes_over_and_refuses_nobody(house):
-    async def body(h):
-        await h.nodes(2, NodeKind("n", cores=16, slots=200, queue=400))
-        first = await h.start(ready=2)
-        busy, idle = await h.client(), await h.client()
-        long = busy.open[busy.send("pay", {"data": {"work": 1500}})]
-        await h.until(lambda: h.ask("status")["attempts_out"] == 1)
-        url, answers, stop = h.url, Counter(), asyncio.Event()
-
-        async def come_and_go():
-            while not stop.is_set():
-                client = await type(busy)(h.records).connect(url, "secret")
-                answers[kind(await client.ask("position", WORK))] += 1
-                await client.end()
-
-        crowd = [asyncio.create_task(come_and_go()) for _ in range(4)]
-        await h.until(lambda: answers["served"] > 20)
-        second = await h.start("--take-over", ready=2)
-        assert h.url == url and second.pid != first.pid
-        assert h.ask("status")["pid"] == second.pid
-        await asyncio.wait_for(idle.closed.wait(), 5)
-        assert kind(await busy.ask("position", WORK)) == "served"  # still on the old one, which still serves it
-        assert kind(await long) == "served"
-        await asyncio.wait_for(busy.closed.wait(), 5)
-        assert (idle.close_code, busy.close_code) == (1001, 1001)
-        assert await asyncio.wait_for(first.wait(), 10) == 0
-        seen = answers["served"]
-        await h.until(lambda: answers["served"] > seen + 20)
-        stop.set()
-        await asyncio.gather(*crowd)
-        assert set(answers) == {"served"}
-        assert h.socket.exists() and h.ask("status")["pid"] == second.pid
-        third = await h.spawn(stderr=asyncio.subprocess.PIPE)
-        _, err = await third.communicate()
-        assert f"held by process {second.pid}".encode() in err
-
-    house(body)
-
-
-def test_a_successor_that_dies_changes_nothing(house):
-    async def body(h):
-        await h.nodes(1)
-        first = await h.start()
-        inherited = await asyncio.to_thread(take_over, h.socket)
-        assert set(inherited.fds) == {"listen", "lock"}
-        for fd in inherited.fds.values():
-            os.close(fd)
-        inherited.sock.close()
-        await h.until(lambda: h.ask("events", search="handover_abandoned"))
-        client = await h.client()
-        assert kind(await client.ask("position", WORK)) == "served"
-        assert h.ask("status")["pid"] == first.pid and h.ask("status")["serving"]
-
-    house(body)
-
-
-def test_taking_over_from_nobody(house, tmp_path):
-    async def body(h):
-        process = await h.spawn("--take-over", stderr=asyncio.subprocess.PIPE)
-        _, err = await process.communicate()
-        assert process.returncode == 1 and b"no daemon to take over from" in err
-
-    house(body)
-    with pytest.raises(HandoverError, match="no daemon"):
-        take_over(tmp_path / "nothing")
-    with pytest.raises(NoDaemon, match="no daemon at"):
-        Daemon(tmp_path / "nothing")
-
-
 def test_readiness_is_told_to_a_service_manager(house):
     async def body(h):
         await h.nodes(1)
