--- a/Makefile
+++ b/Makefile
@@ -23,8 +23,9 @@
 	$(BIN)/ruff check .
 	$(BIN)/lint-imports --no-cache
 
+# Four workers, by the lanes of tests/lanes.py; `pytest` alone runs all in one.
 test: lint
-	$(BIN)/python -m pytest -q
+	$(BIN)/python -m pytest -q -n 4
 
 # What each role costs by size, into docs/capacity.json: 15 minutes at most on 8 cores that do nothing else.
 scale: .venv/.run
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,13 +2,16 @@
 
 from __future__ import annotations
 
+import os
 from dataclasses import replace
 from pathlib import Path
 
 import pytest
 
 from rushweir import interface as i
+from rushweir.lab import ports
 from rushweir.policy import Policy
+from tests import lanes
 
 KNOWN_RED = Path(__file__).parents[1] / "KNOWN-RED.txt"  # a line each: test | cause | issue
 MOST_RED = 3
@@ -19,6 +22,19 @@
     return {name.strip(): why.strip() for name, _, why in (line.partition("|") for line in lines if line.strip())}
 
 
+def pytest_configure() -> None:
+    """Each worker draws its ports from a part of its own."""
+    if worker := os.environ.get("PYTEST_XDIST_WORKER"):
+        (first, end), count = ports.PORTS, int(os.environ["PYTEST_XDIST_WORKER_COUNT"])
+        size, place = (end - first) // count, int(worker.removeprefix("gw")) % count
+        ports.PORTS = first + place * size, first + (place + 1) * size
+
+
+@pytest.hookimpl(optionalhook=True)
+def pytest_xdist_make_scheduler(config, log):
+    return lanes.scheduler(config, log)
+
+
 def pytest_collection_modifyitems(items) -> None:
     """Tests that are known to fail for a real fault run all the same, and their failing is no news."""
     red = known_red()
@@ -27,6 +43,8 @@
     for item in items:
         if item.nodeid in red:
             item.add_marker(pytest.mark.xfail(reason=red[item.nodeid], strict=False))
+    if "PYTEST_XDIST_WORKER" in os.environ:
+        items.sort(key=lambda item: lanes.rank(item.nodeid))
 
 
 def pytest_terminal_summary(terminalreporter) -> None:
--- /dev/null
+++ b/tests/lanes.py
@@ -0,0 +1,69 @@
+"""Which tests run side by side where pytest is given several workers (``-n 4``, as ``make test`` does).
+
+Tests of processes and sockets wait for each other's silences and ends, and some of them for a time: each lane of them
+is played by one worker, a test after another, as without workers. Every other file is a lane of its own. So at most
+two tests with processes are under way at once, beside two that only compute.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+# In the order played: what bears a busy machine best comes first, while all workers have work; what looks at silences
+# and aims comes last, when the files that only compute are done.
+LANES = {
+    "fleets": (
+        "tests/lab/scale/test_short.py",
+        "tests/lab/scale/test_processes.py",
+        "tests/budgets/test_processes.py",
+        "tests/lab/test_hold.py",
+        "tests/lab/test_day.py",
+        "tests/fleet/test_processes.py",
+    ),
+    "processes": (
+        "tests/costs/test_store.py",
+        "tests/lab/test_pure.py",
+        "tests/rollout/test_control_change.py",
+        "tests/rollout/test_control_watch.py",
+        "tests/rollout/test_control_processes.py",
+        "tests/rollout/test_rollout_processes.py",
+        "tests/fleet/test_serve.py",
+        "tests/daemon/test_console.py",
+        "tests/daemon/test_daemon.py",
+        "tests/daemon/test_handover.py",
+        "tests/ingress/test_end_to_end.py",
+        "tests/ingress/test_hard_cases.py",
+        "tests/ingress/test_own_overload.py",
+        "tests/ingress/test_reload.py",
+        "tests/edge/test_closing.py",
+        "tests/edge/test_deploy.py",
+        "tests/edge/test_endings.py",
+        "tests/edge/test_leaving.py",
+        "tests/edge/test_process.py",
+        "tests/edge/test_shell.py",
+        "tests/edge/test_signals.py",
+    ),
+}
+LANE_OF = {file: lane for lane, files in LANES.items() for file in files}
+RANK = {file: n for n, file in enumerate(LANE_OF)}
+
+
+def file_of(nodeid: str) -> str:
+    return nodeid.partition("::")[0]
+
+
+def rank(nodeid: str) -> int:
+    """Where a test stands in the order: lanes first, for they are the longest; all else after them as it was."""
+    return RANK.get(file_of(nodeid), len(RANK))
+
+
+def scheduler(config: Any, log: Any) -> Any:
+    """Gives workers their work by lanes, longest first. The plugin is loaded only where there are several workers."""
+    from xdist.scheduler import LoadScopeScheduling
+
+    class Lanes(LoadScopeScheduling):
+        def _split_scope(self, nodeid: str) -> str:
+            return LANE_OF.get(file_of(nodeid), file_of(nodeid))
+
+    config.option.loadscopereorder = False  # lanes as they are ordered, not by their numbers of tests
+    return Lanes(config, log)
