A new home waits one term, not two; ledgers come through; answers go to whose right ends first

Checked by simulated time: (1) a home lent for a term after its last sure word, each lease a term from its question: two terms owed; (2) a ledger went once, and 2 of 3 pages fell to the messages' budget (core.py, _hand_over by send_app), or came before the view; (3) with 12 doors 77 of 340 grants in 20 s were counted and then not sent, since room was looked at per question, not per datagram. Ruled out: detection in the second case (the next view is there after 0.1 s). Change: a grant says for how long it lasts, a term less the age of the home's word, so that all is over a term after the view is; ledgers go page by page until confirmed (handover.py), also of a home that still waits, with the rest of its wait; questions wait for room in the order in which rights end (lending.py, the home's side of core.py). A view that may have been left out ends what a home knows. Planted faults are still found.

--- a/rushweir/budgets/core.py
+++ b/rushweir/budgets/core.py
@@ -4,63 +4,41 @@
 A process owns a floor of each budget with its number; the rest it asks the home for, again and again while there is
 demand, and spends what the last answer gave it until that is over by its own clock, counted from its question.
 
-A home lends only while it is surely in the view in force (younger than ``term``). A new home lends nothing before all
-that its predecessor may have lent is over (twice the term, with the drift), unless the predecessor hands it the
-ledger. A number that is new to its process brings its floor only after that time, too: homes lend the floors of
-numbers that nobody has.
+A home lends only while it is surely in the view in force (younger than ``term``), and whatever it lends is over a
+term after the last moment at which it was sure. So a new home lends nothing for a term (with the drift) after it
+holds its view, unless the predecessor hands it the ledger (handover.py). A number that is new to its process brings
+its floor only after that time, too: homes lend the floors of numbers that nobody has.
 """
 
 from __future__ import annotations
 
-from collections import Counter
 from collections.abc import Callable
-from dataclasses import replace
 from math import inf
 
-from rushweir.budgets.division import floor_of
-from rushweir.budgets.home import Home
-from rushweir.budgets.records import NOTHING, UNIT, Held, Part, PartChanged, Whole, key_of
+from rushweir.budgets.lending import ASK, ASK_PART, GRANT, IDLE_TERMS, LEDGER, TAKEN, TOPIC, Lender
+from rushweir.budgets.records import NOTHING, Held, Part, PartChanged, Whole, key_of
 from rushweir.fleet.core import Fleet
 from rushweir.fleet.drift import DRIFT, longest, shortest
 from rushweir.fleet.table import fitting
-from rushweir.fleet.views import SEATED, View
-from rushweir.state import Rate, rendezvous
+from rushweir.state import Rate
 
-TOPIC, MASK = 1, 0xFFFFFFFF
-ASK, GRANT, LEDGER = 0, 1, 2
-ASK_PART = 0.25  # of the term: how often a holder asks again
 TICK_MS, ROOM = 50.0, 190
+ASK_LENGTH = 12  # numbers of a question
 DEMAND_MS = 1_000.0  # memory of demand
-IDLE_TERMS = 4  # without demand a budget is forgotten here; what it lent is over by then
 SOON_MS = 300.0  # until a holder whose bucket is empty asks again
 MOST_ASKED = 8  # questions whose answers are waited for
-LEDGER_ROWS = 4  # in a datagram
 
 
-class Budgets:
+class Budgets(Lender):
     """All budgets of one process. Take what changed from ``changes`` after each call, in order."""
 
     def __init__(self, fleet: Fleet, term_ms: float, most: int = 4096) -> None:
         """``most``: budgets known at once; beyond it a new one gets its floor only."""
-        self.fleet, self.term, self.most = fleet, term_ms, most
+        super().__init__(fleet, term_ms, most)
         self.held: dict[int, Held] = {}
-        self.homes: dict[int, Home] = {}
-        self.changes: list[PartChanged] = []
-        self.counts: Counter[str] = Counter()
-        self.out: dict[int, list[list]] = {}  # entries for others, by process
         self.owned_at = inf  # from when on the floors of this process's number are its own ...
         self.owning = False  # ... and whether its users were told
-        self.sweep_at = 0.0
         self.numbered = -1
-        self.due = inf  # when the next right of this process is over
-        self.view = View()  # as it was looked at last: the fleet may hold another by now
-        self.where: dict[tuple[int, int, int, int], int] = {}  # homes, in the view ...
-        self.where_in = self.view  # ... that was held when they were looked for
-        self.sure_at = -inf  # when the view before the present one was surely in force
-        self.opens_at = inf  # from when on this process may lend as a new home
-        self.ledgers: dict[int, dict[int, list]] = {}
-        self.stopped = False
-        self.keeping: dict[int, Part] = {}  # what this process has as a home, as its user was told
         # Of the bucket of a budget, in thousandths, what it had no room for since it began, and what it has room for
         # now: its user knows.
         self.bucket: Callable[[str], tuple[int, int]] = lambda name: (0, 0)
@@ -101,15 +79,6 @@
         n = self.fleet.seat() if self.fleet.now >= self.owned_at else -1
         return self.floor_of(key, whole, n) if n >= 0 else NOTHING
 
-    def floor_of(self, key: int, whole: Whole, number: int) -> Part:
-        most = self.fleet.settings.most
-        place, count = (number - whole.first) % most, whole.count or most
-        if place >= count:
-            return NOTHING
-        rate = floor_of(key, place, count, int(whole.rate * whole.floor))
-        burst = floor_of(key, place, count, int(whole.burst * whole.floor), UNIT)
-        return Part(rate, burst) if rate and burst else NOTHING
-
     # --- time ------------------------------------------------------------------------------------
 
     def start(self, now: float) -> None:
@@ -132,28 +101,6 @@
             self._number(now)
         self._keep(now)
 
-    def _keep(self, now: float) -> None:
-        """What this process has as a home, as long as it is surely one: told to its user where it changed."""
-        sure = self._sure() and not self.stopped
-        for key in sorted(self.keeping.keys() | self.homes.keys()):
-            home = self.homes.get(key)
-            mine = sure and home is not None and now >= home.open_at
-            mine = mine and self.home_of(key, home.scope) == self.fleet.me
-            has = home.kept if mine else NOTHING
-            if has != self.keeping.get(key, NOTHING):
-                slowed = Part(int(has.rate * (1 - DRIFT)), has.burst)
-                self.changes.append(PartChanged("", slowed, 0, inf, NOTHING, key & MASK))
-                self.keeping[key] = has
-            if has == NOTHING:
-                self.keeping.pop(key, None)
-        if self.keeping:
-            self.due = min(self.due, self.fleet.sure_at + shortest(self.term))
-
-    def kept(self, now: float, name: str) -> Part:
-        """What may be spent now as a home."""
-        key = key_of(name)
-        return self.keeping[key] if key in self.keeping and self._sure() else NOTHING
-
     def _tick(self, _: object) -> None:
         now = self.fleet.now
         self.turn(now)
@@ -166,32 +113,22 @@
             if now >= self.owned_at and not self.owning:
                 self.owning = True
                 self._tell_all()
+        self._send_ledgers(now)
         for key, h in list(self.held.items()):
             if now - h.used_at > IDLE_TERMS * self.term:
                 del self.held[key]
                 self.changes.append(PartChanged(h.name, NOTHING))
             elif now >= h.ask_at and not self.fleet.leaving:
                 self._ask(now, key, h)
-        if now >= self.sweep_at:
-            self.sweep_at = now + self.term
-            for key, home in list(self.homes.items()):
-                home.settle(now)
-                if not home.holders and now > home.open_at + IDLE_TERMS * self.term:
-                    del self.homes[key]
+        self._sweep(now)
+        self._answer(now)
         self._send()
         self.fleet.at(TICK_MS, self._tick, None)
 
-    def _look(self, now: float) -> None:
-        """How sure the view is, and whether it is another."""
-        if self.fleet.view is not self.view:
-            self._view(now)
-        self.fleet.age()
-        self.sure_at = max(self.sure_at, self.fleet.sure_at)
-
     def _number(self, now: float) -> None:
         """This process has another number, or none."""
         self.numbered = self.fleet.seat()
-        self.owned_at, self.owning = now + longest(2 * self.term) if self.numbered >= 0 else inf, False
+        self.owned_at, self.owning = now + longest(self.term) if self.numbered >= 0 else inf, False
         self._tell_all()
 
     def _tell_all(self) -> None:
@@ -221,27 +158,15 @@
             self.changes.append(PartChanged(h.name, NOTHING))
         self.held.clear()
         self._keep(now)
+        self.waiting.clear()
         for key, home in self.homes.items():
             self._hand_over(now, key, home, self.home_of(key, home.scope, self.fleet.me))
         self.homes.clear()
+        self._send_ledgers(now)
         self._send()
 
     # --- as a holder -----------------------------------------------------------------------------
 
-    def home_of(self, key: int, whole: Whole, without: int = 0) -> int:
-        """The process that is the home of a budget in the view held here, or would be without one; 0: none."""
-        if self.fleet.view is not self.where_in:
-            self.where_in, self.where = self.fleet.view, {}
-        found = self.where.get((key, whole.first, whole.count, without))
-        if found is None:
-            seats = self.fleet.view.seats
-            here = {n for n, s in seats.items() if s.state == SEATED and s.id != without}
-            here &= set(whole.doors(self.fleet.settings.most))
-            found = seats[rendezvous(key & MASK, here, 1)[0]].id if here else 0
-            if len(self.where) < 4 * self.most:
-                self.where[key, whole.first, whole.count, without] = found
-        return found
-
     def _ask(self, now: float, key: int, h: Held) -> None:
         home = self.home_of(key, h.whole)
         demand = int(h.demand.per_s(now))
@@ -263,13 +188,13 @@
         bucket = self.bucket(h.name)
         return [ASK, key, h.serial, holding, demand, *bucket, w.rate, w.burst, floor, w.first, w.count]
 
-    def _granted(self, serial: int, key: int, part: Part, add: int) -> None:
+    def _granted(self, serial: int, key: int, part: Part, add: int, lasts: int) -> None:
         h = self.held.get(key)
         asked = h.asked.get(serial) if h is not None else None
         if asked is None or serial <= h.taken:
             return
         now, before = self.fleet.now, h.lease if self.fleet.now < h.until else NOTHING
-        until = asked + shortest(self.term)
+        until = asked + min(float(lasts), shortest(self.term))
         if until <= now:
             return
         h.lease, h.until, h.taken = part, until, serial
@@ -279,92 +204,6 @@
         if part.rate < before.rate or part.burst < before.burst:
             h.ask_at = now  # so that the home knows soon that the difference is free
 
-    # --- as a home -------------------------------------------------------------------------------
-
-    def _asked(self, who: int, row: list) -> None:
-        _, key, serial, holding, demand, spilled, lacks, rate, burst, floor, first, count = row
-        whole = Whole(rate, burst, floor / 100, first, count)
-        now = self.fleet.now
-        if self.stopped or self.home_of(key, whole) != self.fleet.me or not self._sure():
-            self.counts["not_home"] += 1
-            return
-        home = self.homes.get(key)
-        if home is None:
-            # What a predecessor lent is unknown.
-            home = self.homes[key] = Home(now, self.term, max(now, self.opens_at))
-        home.scope = whole
-        if who != self.fleet.me and not self.fleet.app_budget.has(now) and not home.urgent(now, who):
-            self.counts["not_urgent"] += 1  # its part lasts; others' would end for want of an answer
-            return
-        told = home.ask(now, who, serial, holding, demand, self._lendable(key, whole), spilled, lacks)
-        if told is None:
-            return
-        part, add = told
-        self.counts["granted"] += 1
-        if who == self.fleet.me:
-            self._granted(serial, key, part, add)
-        else:
-            self.out.setdefault(who, []).append([GRANT, key, serial, part.rate, part.burst, add])
-
-    def _sure(self) -> bool:
-        """Whether this process's view is surely in force, or was so a moment ago."""
-        return self.fleet.view.number > 0 and self.fleet.age() < shortest(self.term)
-
-    def _lendable(self, key: int, whole: Whole) -> Whole:
-        """The whole without the floors that numbers own; those of numbers that nobody has are lent."""
-        owned = NOTHING
-        for n in self.fleet.view.seats:
-            owned += self.floor_of(key, whole, n)
-        return replace(whole, rate=whole.rate - owned.rate, burst=whole.burst - owned.burst)
-
-    def _view(self, now: float) -> None:
-        """Another view holds here. What this process lent as a home goes to the next, if it was one to the end."""
-        self.view = self.fleet.view
-        if now - self.sure_at >= shortest(self.term) and self.homes:
-            # Another may have been in its place meanwhile, and may lend by now: one that came after the last moment
-            # at which this one was sure waits for two terms, and lends for one after its view is over.
-            self.homes.clear()
-            self.counts["homes_lost"] += 1
-        # Whatever this process is the home of from now on, and no ledger comes for: all that was lent is over then.
-        self.opens_at = now + longest(2 * self.term)
-        self.sure_at = -inf
-        self._keep(now)  # before a successor begins to lend
-        for key, home in list(self.homes.items()):
-            to = self.home_of(key, home.scope)
-            if to != self.fleet.me:
-                del self.homes[key]
-                self._hand_over(now, key, home, to)
-
-    def _hand_over(self, now: float, key: int, home: Home, to: int) -> None:
-        """A ledger that may be lent by goes to the next home, if there is one."""
-        if not to or now < home.open_at:
-            return
-        rows = home.dump(now)
-        parts = [rows[k : k + LEDGER_ROWS] for k in range(0, len(rows), LEDGER_ROWS)] or [[]]
-        for page, some in enumerate(parts):
-            entry = [LEDGER, key, self.fleet.view.number, page, len(parts), some]
-            self.fleet.send_app(TOPIC, to, [[entry]])
-        self.counts["handed_over"] += 1
-
-    def _ledger(self, who: int, entry: list) -> None:
-        """A predecessor's ledger. It is counted from now on, and lending may begin at once."""
-        _, key, view, page, of, rows = entry
-        if view != self.fleet.view.number or not 0 <= page < of <= 64 or not isinstance(rows, list):
-            return
-        home = self.homes.get(key)
-        if home is not None and self.fleet.now >= home.open_at:
-            return  # lending by now
-        got = self.ledgers.setdefault(key, {})
-        got[page] = rows
-        if len(got) < of:
-            return
-        del self.ledgers[key]
-        all_rows = [r for k in range(of) for r in got[k]]
-        if home is None:
-            home = self.homes[key] = Home(self.fleet.now, self.term, inf)
-        home.load(self.fleet.now, all_rows)
-        self.counts["taken_over"] += 1
-
     # --- messages --------------------------------------------------------------------------------
 
     def _heard(self, who: int, body: list) -> None:
@@ -373,16 +212,20 @@
         self._look(now)
         for entry in body[0]:
             kind = entry[0]
-            if not all(type(x) is int and x >= 0 for x in (entry[:5] if kind == LEDGER else entry)):
+            if not all(type(x) is int and x >= 0 for x in (entry[:6] if kind == LEDGER else entry)):
                 raise TypeError("whole numbers")
             if kind == ASK:
-                self._asked(who, entry)
+                if len(entry) != ASK_LENGTH:
+                    raise ValueError("a question")
+                self._wait(who, entry)
             elif kind == GRANT:
-                _, key, serial, rate, burst, add = entry
+                _, key, serial, rate, burst, add, lasts = entry
                 # Whoever was asked may answer, also when it is the home no more: what it lent counts to its end.
-                self._granted(serial, key, Part(rate, burst), add)
+                self._granted(serial, key, Part(rate, burst), add, lasts)
             elif kind == LEDGER:
                 self._ledger(who, entry)
+            elif kind == TAKEN:
+                self.handover.taken(who, *entry[1:])
 
     def _send(self) -> None:
         for to, entries in self.out.items():
--- a/rushweir/budgets/home.py
+++ b/rushweir/budgets/home.py
@@ -13,7 +13,7 @@
 from __future__ import annotations
 
 from dataclasses import astuple, dataclass, field, replace
-from math import isqrt
+from math import inf, isqrt
 
 from rushweir.budgets.division import divide, settled, split
 from rushweir.budgets.records import NOTHING, UNIT, Part, Whole
@@ -64,12 +64,13 @@
 
     def ask(
         self, now: float, who: int, serial: int, holding: int, demand: int, whole: Whole, spilled: int = 0,
-        lacks: int = 0,
+        lacks: int = 0, lasts: float = inf,
     ) -> tuple[Part, int] | None:  # fmt: skip
         """A holder's question: it acts on the grant with the serial ``holding`` or on a later one, and demands so
         much a second of a ``whole``, which is what may be lent, without floors that are owned. ``spilled`` is all
-        that its bucket had no room for since it began, ``lacks`` what it has room for now. Its part from now on, and
-        tokens along with it; None: not open, or an old question."""
+        that its bucket had no room for since it began, ``lacks`` what it has room for now; ``lasts``: ms
+        for which it may act on the answer, a term at most. Its part from now on, and tokens along with it; None: not
+        open, or an old question."""
         self.settle(now)
         h = self.holders.setdefault(who, Holder(whole))
         if serial <= h.serial:
@@ -93,7 +94,7 @@
         if len(h.grants) >= MOST_GRANTS:
             first, second = h.grants[:2]
             h.grants[:2] = [Grant(second.serial, first.part.most(second.part), max(first.until, second.until))]
-        h.grants.append(Grant(serial, part, now + longest(self.term)))
+        h.grants.append(Grant(serial, part, now + longest(min(lasts, self.term))))
         # A sum is told, not what came since: a question that is lost, or comes twice, changes nothing.
         if h.spilled >= 0:
             self.reserve += max(0, spilled - h.spilled)
@@ -104,10 +105,10 @@
         self.reserve -= add
         return part, add
 
-    def urgent(self, now: float, who: int) -> bool:
-        """Whether a holder's part ends soon, so that it needs an answer before others."""
+    def ends(self, now: float, who: int) -> float:
+        """When a holder's right is over; who has none is over by now."""
         h = self.holders.get(who)
-        return h is None or max((g.until for g in h.grants), default=now) - now < self.term / 2
+        return max((g.until for g in h.grants), default=now) if h is not None else now
 
     def settle(self, now: float) -> None:
         """Let time pass: grants end, the reserve fills by what nobody holds."""
@@ -166,10 +167,10 @@
             rows.append([who, serial, *astuple(h.counts()), int(left) + 1])
         return rows
 
-    def load(self, now: float, rows: list[list[int]]) -> None:
-        """Go on from a predecessor's ledger, at once."""
+    def load(self, now: float, rows: list[list[int]], wait_ms: float = 0.0) -> None:
+        """Go on from a predecessor's ledger, at once or after what is left of its wait."""
         for who, serial, rate, burst, left in rows:
             # Under the latest serial: whichever of the predecessor's grants it acts on, this covers it.
             grant = Grant(serial, Part(rate, burst), now + longest(left))
             self.holders[who] = Holder(UNKNOWN, 0, now, -1, 0, [grant] if rate or burst else [])
-        self.open_at = now
+        self.open_at = min(self.open_at, now + longest(wait_ms))
--- /dev/null
+++ b/rushweir/budgets/lending.py
@@ -0,0 +1,234 @@
+"""What a process does as the home of budgets: it answers holders, and hands ledgers over. No I/O, no clock.
+
+Questions wait until the messages' budget has room for their answers, those first whose askers' rights end first: an
+answer that is counted and not sent is a part that nobody may spend until it is over.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import replace
+from math import inf
+
+from rushweir.budgets.division import floor_of
+from rushweir.budgets.handover import HandOver, follows
+from rushweir.budgets.home import Home
+from rushweir.budgets.records import NOTHING, UNIT, Part, PartChanged, Whole, key_of
+from rushweir.fleet.core import Fleet
+from rushweir.fleet.drift import DRIFT, longest, shortest
+from rushweir.fleet.views import SEATED, View
+from rushweir.state import rendezvous
+
+TOPIC, MASK = 1, 0xFFFFFFFF
+ASK, GRANT, LEDGER, TAKEN = range(4)
+ASK_PART = 0.25  # of the term: how often a holder asks again
+STALE_PART = 2 * ASK_PART  # of the term: a question that waited for so long was asked anew, or its asker is gone
+IDLE_TERMS = 4  # without demand a budget is forgotten here; what it lent is over by then
+
+
+class Lender:
+    """The homes of one process. What it needs of holders is in ``Budgets``."""
+
+    def __init__(self, fleet: Fleet, term_ms: float, most: int) -> None:
+        """``most``: budgets, and questions that wait."""
+        self.fleet, self.term, self.most = fleet, term_ms, most
+        self.homes: dict[int, Home] = {}
+        self.waiting: dict[tuple[int, int], tuple[float, list[int]]] = {}  # by budget and asker: since when, and what
+        self.handover = HandOver(most)
+        self.changes: list[PartChanged] = []
+        self.counts: Counter[str] = Counter()
+        self.out: dict[int, list[list]] = {}  # entries for others, by process
+        self.due = inf  # when the next right of this process is over
+        self.sweep_at = 0.0
+        self.view = View()  # as it was looked at last: the fleet may hold another by now
+        self.where: dict[tuple[int, int, int, int], int] = {}  # homes, in the view ...
+        self.where_in = self.view  # ... that was held when they were looked for
+        self.opens_at = inf  # from when on this process may lend as a new home
+        self.stopped = False
+        self.keeping: dict[int, Part] = {}  # what this process has as a home, as its user was told
+
+    def home_of(self, key: int, whole: Whole, without: int = 0) -> int:
+        """The process that is the home of a budget in the view held here, or would be without one; 0: none."""
+        if self.fleet.view is not self.where_in:
+            self.where_in, self.where = self.fleet.view, {}
+        found = self.where.get((key, whole.first, whole.count, without))
+        if found is None:
+            seats = self.fleet.view.seats
+            here = {n for n, s in seats.items() if s.state == SEATED and s.id != without}
+            here &= set(whole.doors(self.fleet.settings.most))
+            found = seats[rendezvous(key & MASK, here, 1)[0]].id if here else 0
+            if len(self.where) < 4 * self.most:
+                self.where[key, whole.first, whole.count, without] = found
+        return found
+
+    def floor_of(self, key: int, whole: Whole, number: int) -> Part:
+        most = self.fleet.settings.most
+        place, count = (number - whole.first) % most, whole.count or most
+        if place >= count:
+            return NOTHING
+        rate = floor_of(key, place, count, int(whole.rate * whole.floor))
+        burst = floor_of(key, place, count, int(whole.burst * whole.floor), UNIT)
+        return Part(rate, burst) if rate and burst else NOTHING
+
+    def _sure(self) -> bool:
+        """Whether this process's view is surely in force, or was so a moment ago."""
+        return self.fleet.view.number > 0 and self.fleet.age() < shortest(self.term)
+
+    # --- what stays here -------------------------------------------------------------------------
+
+    def _keep(self, now: float) -> None:
+        """What this process has as a home, as long as it is surely one: told to its user where it changed."""
+        sure = self._sure() and not self.stopped
+        for key in sorted(self.keeping.keys() | self.homes.keys()):
+            home = self.homes.get(key)
+            mine = sure and home is not None and now >= home.open_at
+            mine = mine and self.home_of(key, home.scope) == self.fleet.me
+            has = home.kept if mine else NOTHING
+            if has != self.keeping.get(key, NOTHING):
+                slowed = Part(int(has.rate * (1 - DRIFT)), has.burst)
+                self.changes.append(PartChanged("", slowed, 0, inf, NOTHING, key & MASK))
+                self.keeping[key] = has
+            if has == NOTHING:
+                self.keeping.pop(key, None)
+        if self.keeping:
+            self.due = min(self.due, self.fleet.sure_at + shortest(self.term))
+
+    def kept(self, now: float, name: str) -> Part:
+        """What may be spent now as a home."""
+        key = key_of(name)
+        return self.keeping[key] if key in self.keeping and self._sure() else NOTHING
+
+    # --- questions -------------------------------------------------------------------------------
+
+    def _wait(self, who: int, row: list[int]) -> None:
+        """A question came. Of one asker and budget only the last one counts."""
+        _, key, serial, *_ = row
+        had = self.waiting.get((key, who))
+        if had is None and len(self.waiting) >= self.most:
+            self.counts["not_heard"] += 1
+        elif had is None or had[1][2] < serial:
+            self.waiting[key, who] = self.fleet.now, row
+
+    def _answer(self, now: float) -> None:
+        """Answer those questions that there is room for."""
+
+        def ends(asked: tuple[int, int]) -> float:
+            home = self.homes.get(asked[0])
+            return home.ends(now, asked[1]) if home is not None else now
+
+        for asked in sorted(self.waiting, key=lambda a: (ends(a), a)):
+            since, row = self.waiting[asked]
+            who = asked[1]
+            if who not in self.out and not (self.fleet.app_budget.has(now) and self._room() >= 1):
+                if now - since > STALE_PART * self.term:
+                    del self.waiting[asked]
+                    self.counts["not_answered"] += 1
+                continue
+            del self.waiting[asked]
+            self._asked(who, row)
+
+    def _room(self) -> float:
+        """Datagrams that may go beside those that will."""
+        return self.fleet.app_budget.tokens - len(self.out)
+
+    def _asked(self, who: int, row: list) -> None:
+        _, key, serial, holding, demand, spilled, lacks, rate, burst, floor, first, count = row
+        whole = Whole(rate, burst, floor / 100, first, count)
+        now = self.fleet.now
+        if self.stopped or self.home_of(key, whole) != self.fleet.me or not self._sure():
+            self.counts["not_home"] += 1
+            return
+        home = self.homes.get(key)
+        if home is None:
+            # What a predecessor lent is unknown.
+            home = self.homes[key] = Home(now, self.term, max(now, self.opens_at))
+        home.scope = whole
+        # No right outlasts the last sure moment of this view by more than a term: so long the next home waits. Both
+        # clocks may run slow by the drift, together: what is taken off of one term is enough for it.
+        lasts = int(shortest(self.term) - self.fleet.age())
+        told = home.ask(now, who, serial, holding, demand, self._lendable(key, whole), spilled, lacks, lasts)
+        if told is None:
+            return
+        part, add = told
+        self.counts["granted"] += 1
+        if who == self.fleet.me:
+            self._granted(serial, key, part, add, lasts)
+        else:
+            self.out.setdefault(who, []).append([GRANT, key, serial, part.rate, part.burst, add, lasts])
+
+    def _granted(self, serial: int, key: int, part: Part, add: int, lasts: int) -> None:
+        """This process's own question was answered."""
+        raise NotImplementedError
+
+    def _lendable(self, key: int, whole: Whole) -> Whole:
+        """The whole without the floors that numbers own; those of numbers that nobody has are lent."""
+        owned = NOTHING
+        for n in self.fleet.view.seats:
+            owned += self.floor_of(key, whole, n)
+        return replace(whole, rate=whole.rate - owned.rate, burst=whole.burst - owned.burst)
+
+    def _sweep(self, now: float) -> None:
+        if now < self.sweep_at:
+            return
+        self.sweep_at = now + self.term
+        for key, home in list(self.homes.items()):
+            home.settle(now)
+            if not home.holders and now > home.open_at + IDLE_TERMS * self.term:
+                del self.homes[key]
+
+    # --- from home to home -----------------------------------------------------------------------
+
+    def _look(self, now: float) -> None:
+        if self.fleet.view is not self.view:
+            self._view(now)
+
+    def _view(self, now: float) -> None:
+        """Another view holds here. What this process lent as a home goes to the next, if it was one to the end."""
+        before, self.view = self.view, self.fleet.view
+        if not follows(self.view, before) and self.homes:
+            # Another may have been in its place in a view between, and may lend by now.
+            self.homes.clear()
+            self.counts["homes_lost"] += 1
+        # Whatever this process is the home of from now on, and no ledger comes for: all that was lent is over then.
+        self.opens_at = now + longest(self.term)
+        self._keep(now)  # before a successor begins to lend
+        self.handover.viewed(before, self.view, self._next_home)
+        for key, home in list(self.homes.items()):
+            to = self.home_of(key, home.scope)
+            if to != self.fleet.me:
+                del self.homes[key]
+                self._hand_over(now, key, home, to)
+
+    def _next_home(self, key: int) -> int:
+        return self.home_of(key, self.handover.given[key].scope, self.fleet.me if self.stopped else 0)
+
+    def _hand_over(self, now: float, key: int, home: Home, to: int) -> None:
+        """A ledger goes to the next home, if there is one; of a home that still waited, with the rest of its wait."""
+        wait = int(max(0.0, home.open_at - now)) + 1 if home.open_at > now else 0
+        if to and home.open_at < inf and self.handover.give(
+            key, home.scope, to, self.fleet.view.number, home.dump(now), wait, now + self.term
+        ):  # fmt: skip
+            self.counts["handed_over"] += 1
+
+    def _ledger(self, who: int, entry: list) -> None:
+        """A predecessor's ledger. It is counted from now on, and lending may begin at once, or after the wait that
+        the predecessor still had to go through."""
+        _, key, view, page, of, wait, rows = entry
+        now, home = self.fleet.now, self.homes.get(key)
+        if self.stopped or view != self.fleet.view.number or not isinstance(rows, list):
+            return  # of a view that is not here yet: it comes again
+        if home is None or home.open_at > now:
+            all_rows = self.handover.came(who, key, view, page, of, rows)
+            if all_rows is not None:
+                home = home or Home(now, self.term, inf)
+                home.load(now, all_rows, wait)
+                self.homes[key] = home
+                self.counts["taken_over"] += 1
+        self.out.setdefault(who, []).append([TAKEN, key, view, page])
+
+    def _send_ledgers(self, now: float) -> None:
+        """Before anything else that waits for room: a home without its ledger keeps all others waiting."""
+        for to, entry in self.handover.due(now):
+            if not self.fleet.app_budget.has(now):
+                return
+            self.fleet.send_app(TOPIC, to, [[[LEDGER, *entry]]])
--- a/rushweir/lab/sim/budget_plants.py
+++ b/rushweir/lab/sim/budget_plants.py
@@ -8,6 +8,8 @@
 
 from __future__ import annotations
 
+from math import inf
+
 from rushweir.budgets.core import Budgets
 from rushweir.budgets.home import Home
 from rushweir.budgets.records import NOTHING, Part, Whole
@@ -19,9 +21,9 @@
 class Freed(Home):
     def ask(
         self, now: float, who: int, serial: int, holding: int, demand: int, whole: Whole, spilled: int = 0,
-        lacks: int = 0,
+        lacks: int = 0, lasts: float = inf,
     ) -> tuple[Part, int] | None:  # fmt: skip
-        return super().ask(now, who, serial, serial, demand, whole, spilled, lacks)
+        return super().ask(now, who, serial, serial, demand, whole, spilled, lacks, lasts)
 
     def settle(self, now: float) -> None:
         super().settle(now)
@@ -34,11 +36,11 @@
         super().__init__(fleet, term_ms)
         self.kind, self.last = kind, -1
 
-    def _granted(self, serial: int, key: int, part: Part, add: int) -> None:
+    def _granted(self, serial: int, key: int, part: Part, add: int, lasts: int) -> None:
         h = self.held.get(key)
         if self.kind == "late" and h is not None and serial in h.asked:
             h.asked[serial] = self.fleet.now
-        super()._granted(serial, key, part, add)
+        super()._granted(serial, key, part, add, lasts)
 
     def _view(self, now: float) -> None:
         super()._view(now)
