Ledgers are begun anew where the next home surely has them not; what a question tells counts at once

Checked: page 0 was sent again and again where room was for one page a tick. Change: pages in turn; a process that a view overtook refuses, and the ledger goes to the next.

--- a/rushweir/budgets/core.py
+++ b/rushweir/budgets/core.py
@@ -15,7 +15,7 @@
 from collections.abc import Callable
 from math import inf
 
-from rushweir.budgets.lending import ASK, ASK_PART, GRANT, IDLE_TERMS, LEDGER, TAKEN, TOPIC, Lender
+from rushweir.budgets.lending import ASK, ASK_PART, GRANT, IDLE_TERMS, LEDGER, REFUSED, TAKEN, TOPIC, Lender
 from rushweir.budgets.records import NOTHING, Held, Part, PartChanged, Whole, key_of
 from rushweir.fleet.core import Fleet
 from rushweir.fleet.drift import DRIFT, longest, shortest
@@ -225,7 +225,9 @@
             elif kind == LEDGER:
                 self._ledger(who, entry)
             elif kind == TAKEN:
-                self.handover.taken(who, *entry[1:])
+                self.handover.confirmed(who, *entry[1:])
+            elif kind == REFUSED:
+                self._refused(who, *entry[1:])
 
     def _send(self) -> None:
         for to, entries in self.out.items():
--- a/rushweir/budgets/handover.py
+++ b/rushweir/budgets/handover.py
@@ -4,13 +4,16 @@
 messages' budget has no room for, would cost the whole term that a home without a ledger waits. On its way it can't
 grow wrong: what it counts is over no later than it says, whenever it comes, and a home that lends takes none.
 
-    of a ledger   event                                                   then
-    given         the next home says that it has a page                   that page is done
-    given         another view, the next directly, and the same home      it goes on under that view
-    given         another view or another home                            dropped: that home may have lent by it
-    given         a term has passed                                       dropped: the next home waited for that long
-    coming        a page of the same sender and view                      kept, until all are there
-    coming        a page of another                                       begins anew
+    of a ledger   event                                             then
+    given         the next home says that it has a page             that page is done; with the last one, all
+    given         another view, the next directly, the same home    begun anew under that view
+    given         the same, another home, a page was never sent     begun anew with it: the one before has it not
+    given         the same, another home, all pages were sent       goes on as it was: the one before may lend by it
+    given         the one before says that it has it not            begun anew with the home there is now
+    given         a view may have been left out; no home is left    dropped
+    given         a term has passed                                 dropped: the next home waited for that long
+    coming        a page of the view held                           kept, until all are there
+    coming        a page of a view that is over                     refused, unless that ledger was taken
 """
 
 from __future__ import annotations
@@ -35,35 +38,30 @@
 
 @dataclass(slots=True)
 class Given:
-    """A ledger that is being handed over; ``left`` are the pages that nobody confirmed."""
+    """A ledger that is being handed over."""
 
     scope: Whole  # whose doors say where its home is
     to: int
     view: int
     pages: list[list[list[int]]]
-    left: set[int]
+    left: set[int]  # pages that nobody confirmed
     wait: int  # ms for which the next home still has to wait
     until: float
-    again_at: float = 0.0
+    sent: dict[int, float] = field(default_factory=dict)  # pages that were, and when
 
-
-@dataclass(slots=True)
-class Coming:
-    """Pages of a ledger that came."""
-
-    who: int
-    view: int
-    of: int
-    pages: dict[int, list[list[int]]] = field(default_factory=dict)
+    def begin(self, to: int, view: int) -> None:
+        self.to, self.view, self.left, self.sent = to, view, set(range(len(self.pages))), {}
 
 
 class HandOver:
     """The ledgers that one process hands over, and those that come to it: ``most`` of each at once."""
 
-    def __init__(self, most: int) -> None:
-        self.most = most
+    def __init__(self, most: int, term_ms: float) -> None:
+        self.most, self.term = most, term_ms
         self.given: dict[int, Given] = {}
-        self.coming: dict[int, Coming] = {}
+        self.coming: dict[tuple[int, int], dict[int, list[list[int]]]] = {}  # pages by budget and sender
+        # The last view for which a ledger was taken, and when, by budget; who gave it asks for a term at most.
+        self.took: dict[int, tuple[int, float]] = {}
 
     def give(
         self, key: int, scope: Whole, to: int, view: int, rows: list[list[int]], wait: int, until: float
@@ -76,43 +74,63 @@
         return True
 
     def due(self, now: float) -> Iterator[tuple[int, list]]:
-        """What is to be sent now, as receiver and entry without its kind. Who has no room left to send stops early,
-        and is told the same ledgers again."""
+        """What is to be sent now, as receiver and entry without its kind. What is taken from here counts as sent."""
         for key, g in list(self.given.items()):
-            if now >= g.until or not g.left:
+            if now >= g.until:
                 del self.given[key]
-            elif now >= g.again_at:
-                for page in sorted(g.left):
+                continue
+            for page in sorted(g.left):
+                if now >= g.sent.get(page, -AGAIN_MS) + AGAIN_MS:
+                    g.sent[page] = now
                     yield g.to, [key, g.view, page, len(g.pages), g.wait, g.pages[page]]
-                g.again_at = now + AGAIN_MS
 
-    def taken(self, who: int, key: int, view: int, page: int) -> None:
+    def confirmed(self, who: int, key: int, view: int, page: int) -> None:
         """The next home has a page."""
         g = self.given.get(key)
         if g is not None and (g.to, g.view) == (who, view):
             g.left.discard(page)
+            if not g.left:
+                del self.given[key]
 
-    def viewed(self, old: View, new: View, home_of: Callable[[int], int]) -> None:
+    def refused(self, who: int, key: int, view: int, to: int, now_view: int) -> None:
+        """A process that a ledger was given to has it not, and will not take it for that view any more; ``to``: the
+        home there is now."""
+        g = self.given.get(key)
+        if g is not None and (g.to, g.view) == (who, view) and view != now_view:
+            g.begin(to, now_view)
+            if not to:
+                del self.given[key]
+
+    def has_taken(self, key: int, view: int) -> bool:
+        """Whether a ledger was taken for a view, or for a later one."""
+        return self.took.get(key, (0, 0.0))[0] >= view
+
+    def viewed(self, old: View, new: View, home_of: Callable[[int, Whole], int]) -> None:
         """Another view holds here."""
+        if not follows(new, old):
+            self.given.clear()
         for key, g in list(self.given.items()):
-            if g.view == old.number and follows(new, old) and home_of(key) == g.to:
-                # What came of it under the view before is forgotten there.
-                g.view, g.left, g.again_at = new.number, set(range(len(g.pages))), 0.0
-                continue
-            del self.given[key]
-        self.coming = {key: c for key, c in self.coming.items() if c.view == new.number}
-
-    def came(self, who: int, key: int, view: int, page: int, of: int, rows: list) -> list[list[int]] | None:
-        """A page came; all rows once it was the last one. Raises ValueError."""
+            home = home_of(key, g.scope)
+            if g.view == old.number and (home == g.to or len(g.sent) < len(g.pages)):
+                g.begin(home, new.number)
+                if not home:
+                    del self.given[key]
+        self.coming.clear()
+
+    def came(
+        self, now: float, who: int, key: int, view: int, page: int, of: int, rows: list
+    ) -> list[list[int]] | None:  # fmt: skip
+        """A page for the view that is held came; all rows once it was the last one. Raises ValueError."""
         if not 0 <= page < of <= MOST_PAGES:
             raise ValueError("pages")
-        c = self.coming.get(key)
-        if c is None or (c.who, c.view, c.of) != (who, view, of):
-            if c is None and len(self.coming) >= self.most:
-                return None
-            c = self.coming[key] = Coming(who, view, of)
-        c.pages[page] = rows
-        if len(c.pages) < of:
+        if len(self.coming) + len(self.took) >= 2 * self.most:
+            self.took = {k: t for k, t in self.took.items() if now - t[1] < 2 * self.term}
+        if len(self.coming) + len(self.took) >= 2 * self.most:
+            return None
+        pages = self.coming.setdefault((key, who), {})
+        pages[page] = rows
+        if len(pages) < of:
             return None
-        del self.coming[key]
-        return [r for k in range(of) for r in c.pages[k]]
+        del self.coming[key, who]
+        self.took[key] = view, now
+        return [r for k in range(of) for r in pages[k]]
--- a/rushweir/budgets/home.py
+++ b/rushweir/budgets/home.py
@@ -41,6 +41,7 @@
     spilled: int = -1  # in all, as it told last; -1: not known, and what came before is nobody's any more
     serial: int = 0  # of its last question
     grants: list[Grant] = field(default_factory=list)  # that it may be acting on, by serial
+    answered: int = 0  # of its last question that was answered, or would have been
 
     def counts(self) -> Part:
         """What it may be spending."""
@@ -71,17 +72,10 @@
         that its bucket had no room for since it began, ``lacks`` what it has room for now; ``lasts``: ms
         for which it may act on the answer, a term at most. Its part from now on, and tokens along with it; None: not
         open, or an old question."""
-        self.settle(now)
-        h = self.holders.setdefault(who, Holder(whole))
-        if serial <= h.serial:
+        if not self.hear(now, who, serial, holding, demand, whole, spilled):
             return None
-        h.serial, h.demand, h.asked_at, h.whole = serial, demand, now, whole
-        # Settings are read anew by one process after the other: as long as any has the smaller whole, it holds.
-        told = [x.whole for x in self.holders.values()]
-        rate, burst = min(w.rate for w in told), min(w.burst for w in told)
-        self.kept = Part(int(rate * KEPT_PART), int(burst * KEPT_PART))
-        self.whole = replace(whole, rate=rate - self.kept.rate, burst=burst - self.kept.burst)
-        h.grants = [g for g in h.grants if g.serial >= holding]
+        h = self.holders[who]
+        h.answered = serial
         if now < self.open_at:
             return None
         lent = self._lent(who)
@@ -95,16 +89,33 @@
             first, second = h.grants[:2]
             h.grants[:2] = [Grant(second.serial, first.part.most(second.part), max(first.until, second.until))]
         h.grants.append(Grant(serial, part, now + longest(min(lasts, self.term))))
-        # A sum is told, not what came since: a question that is lost, or comes twice, changes nothing.
-        if h.spilled >= 0:
-            self.reserve += max(0, spilled - h.spilled)
-        h.spilled = spilled
         # The reserve has room for less now; what it gives along is in the holder's bucket, and no longer here.
         self.reserve = min(self.reserve, self._room().burst)
         add = int(min(self.reserve * ADD_PART, lacks, part.burst))
         self.reserve -= add
         return part, add
 
+    def hear(
+        self, now: float, who: int, serial: int, holding: int, demand: int, whole: Whole, spilled: int = 0
+    ) -> bool:
+        """What a question tells, which may be answered later; whether it may still be answered."""
+        self.settle(now)
+        h = self.holders.setdefault(who, Holder(whole))
+        if serial <= h.serial:
+            return serial == h.serial and serial > h.answered
+        h.serial, h.demand, h.asked_at, h.whole = serial, demand, now, whole
+        # Settings are read anew by one process after the other: as long as any has the smaller whole, it holds.
+        told = [x.whole for x in self.holders.values()]
+        rate, burst = min(w.rate for w in told), min(w.burst for w in told)
+        self.kept = Part(int(rate * KEPT_PART), int(burst * KEPT_PART))
+        self.whole = replace(whole, rate=rate - self.kept.rate, burst=burst - self.kept.burst)
+        h.grants = [g for g in h.grants if g.serial >= holding]
+        # A sum is told, not what came since: a question that is lost, or comes twice, changes nothing.
+        if h.spilled >= 0:
+            self.reserve = min(self.reserve + max(0, spilled - h.spilled), float(self._room().burst))
+        h.spilled = spilled
+        return True
+
     def ends(self, now: float, who: int) -> float:
         """When a holder's right is over; who has none is over by now."""
         h = self.holders.get(who)
--- a/rushweir/budgets/lending.py
+++ b/rushweir/budgets/lending.py
@@ -20,7 +20,7 @@
 from rushweir.state import rendezvous
 
 TOPIC, MASK = 1, 0xFFFFFFFF
-ASK, GRANT, LEDGER, TAKEN = range(4)
+ASK, GRANT, LEDGER, TAKEN, REFUSED = range(5)
 ASK_PART = 0.25  # of the term: how often a holder asks again
 STALE_PART = 2 * ASK_PART  # of the term: a question that waited for so long was asked anew, or its asker is gone
 IDLE_TERMS = 4  # without demand a budget is forgotten here; what it lent is over by then
@@ -34,7 +34,7 @@
         self.fleet, self.term, self.most = fleet, term_ms, most
         self.homes: dict[int, Home] = {}
         self.waiting: dict[tuple[int, int], tuple[float, list[int]]] = {}  # by budget and asker: since when, and what
-        self.handover = HandOver(most)
+        self.handover = HandOver(most, term_ms)
         self.changes: list[PartChanged] = []
         self.counts: Counter[str] = Counter()
         self.out: dict[int, list[list]] = {}  # entries for others, by process
@@ -102,7 +102,15 @@
 
     def _wait(self, who: int, row: list[int]) -> None:
         """A question came. Of one asker and budget only the last one counts."""
-        _, key, serial, *_ = row
+        _, key, serial, holding, demand, spilled, _, rate, burst, floor, first, count = row
+        whole = Whole(rate, burst, floor / 100, first, count)
+        if self.stopped or self.home_of(key, whole) != self.fleet.me:
+            self.counts["not_home"] += 1
+            return
+        # What it gave back is free for others at once, also where its answer waits.
+        self._home(key, whole).hear(
+            self.fleet.now, who, serial, holding, demand, self._lendable(key, whole), spilled
+        )
         had = self.waiting.get((key, who))
         if had is None and len(self.waiting) >= self.most:
             self.counts["not_heard"] += 1
@@ -138,14 +146,8 @@
         if self.stopped or self.home_of(key, whole) != self.fleet.me or not self._sure():
             self.counts["not_home"] += 1
             return
-        home = self.homes.get(key)
-        if home is None:
-            # What a predecessor lent is unknown.
-            home = self.homes[key] = Home(now, self.term, max(now, self.opens_at))
-        home.scope = whole
-        # No right outlasts the last sure moment of this view by more than a term: so long the next home waits. Both
-        # clocks may run slow by the drift, together: what is taken off of one term is enough for it.
-        lasts = int(shortest(self.term) - self.fleet.age())
+        home = self._home(key, whole)
+        lasts = self._lasts()
         told = home.ask(now, who, serial, holding, demand, self._lendable(key, whole), spilled, lacks, lasts)
         if told is None:
             return
@@ -156,6 +158,20 @@
         else:
             self.out.setdefault(who, []).append([GRANT, key, serial, part.rate, part.burst, add, lasts])
 
+    def _home(self, key: int, whole: Whole) -> Home:
+        home = self.homes.get(key)
+        if home is None:
+            # What a predecessor lent is unknown.
+            home = self.homes[key] = Home(self.fleet.now, self.term, max(self.fleet.now, self.opens_at))
+        home.scope = whole
+        return home
+
+    def _lasts(self) -> int:
+        """For how long what is granted now may be acted on, in ms from the question. No right outlasts the last sure
+        moment of this view by more than a term: so long the next home waits. Both clocks may run slow by the drift,
+        together: what is taken off of one term is enough for it."""
+        return int(shortest(self.term) - self.fleet.age())
+
     def _granted(self, serial: int, key: int, part: Part, add: int, lasts: int) -> None:
         """This process's own question was answered."""
         raise NotImplementedError
@@ -199,8 +215,10 @@
                 del self.homes[key]
                 self._hand_over(now, key, home, to)
 
-    def _next_home(self, key: int) -> int:
-        return self.home_of(key, self.handover.given[key].scope, self.fleet.me if self.stopped else 0)
+    def _next_home(self, key: int, scope: Whole) -> int:
+        """Where a ledger given away belongs now; 0: nowhere, or here, where it was given away."""
+        home = self.home_of(key, scope, self.fleet.me if self.stopped else 0)
+        return home if home != self.fleet.me else 0
 
     def _hand_over(self, now: float, key: int, home: Home, to: int) -> None:
         """A ledger goes to the next home, if there is one; of a home that still waited, with the rest of its wait."""
@@ -214,11 +232,14 @@
         """A predecessor's ledger. It is counted from now on, and lending may begin at once, or after the wait that
         the predecessor still had to go through."""
         _, key, view, page, of, wait, rows = entry
-        now, home = self.fleet.now, self.homes.get(key)
-        if self.stopped or view != self.fleet.view.number or not isinstance(rows, list):
+        now, home, held = self.fleet.now, self.homes.get(key), self.fleet.view.number
+        if self.stopped or view > held or not isinstance(rows, list):
             return  # of a view that is not here yet: it comes again
-        if home is None or home.open_at > now:
-            all_rows = self.handover.came(who, key, view, page, of, rows)
+        if view < held and not self.handover.has_taken(key, view):
+            self.out.setdefault(who, []).append([REFUSED, key, view])
+            return
+        if view == held and (home is None or home.open_at > now):
+            all_rows = self.handover.came(now, who, key, view, page, of, rows)
             if all_rows is not None:
                 home = home or Home(now, self.term, inf)
                 home.load(now, all_rows, wait)
@@ -226,9 +247,13 @@
                 self.counts["taken_over"] += 1
         self.out.setdefault(who, []).append([TAKEN, key, view, page])
 
+    def _refused(self, who: int, key: int, view: int) -> None:
+        g = self.handover.given.get(key)
+        if g is not None:
+            self.handover.refused(who, key, view, self._next_home(key, g.scope), self.fleet.view.number)
+
     def _send_ledgers(self, now: float) -> None:
         """Before anything else that waits for room: a home without its ledger keeps all others waiting."""
-        for to, entry in self.handover.due(now):
-            if not self.fleet.app_budget.has(now):
-                return
-            self.fleet.send_app(TOPIC, to, [[[LEDGER, *entry]]])
+        ledgers = self.handover.due(now)
+        while self.fleet.app_budget.has(now) and (due := next(ledgers, None)) is not None:
+            self.fleet.send_app(TOPIC, due[0], [[[LEDGER, *due[1]]]])
--- a/rushweir/lab/sim/budget_plants.py
+++ b/rushweir/lab/sim/budget_plants.py
@@ -3,7 +3,9 @@
 ``late``: a lease counts from the answer, not from the question. ``hasty``: a new home lends at once. ``kept``: a
 floor is spent on whatever number the process had last. ``early``: a floor is its number's at once. ``freed``: what
 a holder had counts as free as soon as it is answered. ``drowsy``: a right that is over is looked at by a timer, not
-in the turn that spends.
+in the turn that spends. ``long``: a grant is for a whole term, however old the word of the view is that it rests on.
+``faithful``: a home keeps its ledger over a view that it never held. ``twofold``: a ledger is handed over anew to
+each next home, also where the one before may have it.
 """
 
 from __future__ import annotations
@@ -14,8 +16,10 @@
 from rushweir.budgets.home import Home
 from rushweir.budgets.records import NOTHING, Part, Whole
 from rushweir.fleet.core import Fleet
+from rushweir.fleet.drift import shortest
+from rushweir.fleet.views import SEED_BITS, View
 
-KINDS = ("late", "hasty", "kept", "early", "freed", "drowsy")
+KINDS = ("late", "hasty", "kept", "early", "freed", "drowsy", "long", "faithful", "twofold")
 
 
 class Freed(Home):
@@ -43,6 +47,11 @@
         super()._granted(serial, key, part, add, lasts)
 
     def _view(self, now: float) -> None:
+        if self.kind == "faithful":
+            self.view = View(self.fleet.view.number - (1 << SEED_BITS), self.view.seats)
+        if self.kind == "twofold":
+            for g in self.handover.given.values():
+                g.sent.clear()
         super()._view(now)
         if self.kind == "hasty":
             self.opens_at = now
@@ -59,10 +68,13 @@
             return self.floor_of(key, whole, self.last)
         return super().floor(key, whole)
 
-    def _asked(self, who: int, row: list) -> None:
-        if self.kind == "freed" and self.homes.get(row[1]) is None:
-            self.homes[row[1]] = Freed(self.fleet.now, self.term, max(self.fleet.now, self.opens_at))
-        super()._asked(who, row)
+    def _home(self, key: int, whole: Whole) -> Home:
+        if self.kind == "freed" and self.homes.get(key) is None:
+            self.homes[key] = Freed(self.fleet.now, self.term, max(self.fleet.now, self.opens_at))
+        return super()._home(key, whole)
+
+    def _lasts(self) -> int:
+        return int(shortest(self.term)) if self.kind == "long" else super()._lasts()
 
     def turn(self, now: float) -> None:
         if self.kind != "drowsy":
