--- a/benchmarks/divided_anew.py
+++ b/benchmarks/divided_anew.py
@@ -1,4 +1,4 @@
-"""How long a whole is not lent after its home is killed, after members leave and after members join, in simulated time.
+"""How long a whole is not lent after its home is killed, after members leave and after they join, in simulated time.
 
     .venv/bin/python -m benchmarks.divided_anew [SEEDS]
 
