--- a/rushweir/budgets/home.py
+++ b/rushweir/budgets/home.py
@@ -13,7 +13,7 @@
 from __future__ import annotations
 
 from dataclasses import astuple, dataclass, field, replace
-from math import isqrt
+from math import inf, isqrt
 
 from rushweir.budgets.division import divide, settled, split
 from rushweir.budgets.records import NOTHING, UNIT, Part, Whole
@@ -41,6 +41,7 @@
     spilled: int = -1  # in all, as it told last; -1: not known, and what came before is nobody's any more
     serial: int = 0  # of its last question
     grants: list[Grant] = field(default_factory=list)  # that it may be acting on, by serial
+    answered: int = 0  # of its last question that was answered, or would have been
 
     def counts(self) -> Part:
         """What it may be spending."""
@@ -64,23 +65,17 @@
 
     def ask(
         self, now: float, who: int, serial: int, holding: int, demand: int, whole: Whole, spilled: int = 0,
-        lacks: int = 0,
+        lacks: int = 0, lasts: float = inf,
     ) -> tuple[Part, int] | None:  # fmt: skip
         """A holder's question: it acts on the grant with the serial ``holding`` or on a later one, and demands so
         much a second of a ``whole``, which is what may be lent, without floors that are owned. ``spilled`` is all
-        that its bucket had no room for since it began, ``lacks`` what it has room for now. Its part from now on, and
-        tokens along with it; None: not open, or an old question."""
-        self.settle(now)
-        h = self.holders.setdefault(who, Holder(whole))
-        if serial <= h.serial:
+        that its bucket had no room for since it began, ``lacks`` what it has room for now; ``lasts``: ms
+        for which it may act on the answer, a term at most. Its part from now on, and tokens along with it; None: not
+        open, or an old question."""
+        if not self.hear(now, who, serial, holding, demand, whole, spilled):
             return None
-        h.serial, h.demand, h.asked_at, h.whole = serial, demand, now, whole
-        # Settings are read anew by one process after the other: as long as any has the smaller whole, it holds.
-        told = [x.whole for x in self.holders.values()]
-        rate, burst = min(w.rate for w in told), min(w.burst for w in told)
-        self.kept = Part(int(rate * KEPT_PART), int(burst * KEPT_PART))
-        self.whole = replace(whole, rate=rate - self.kept.rate, burst=burst - self.kept.burst)
-        h.grants = [g for g in h.grants if g.serial >= holding]
+        h = self.holders[who]
+        h.answered = serial
         if now < self.open_at:
             return None
         lent = self._lent(who)
@@ -93,21 +88,38 @@
         if len(h.grants) >= MOST_GRANTS:
             first, second = h.grants[:2]
             h.grants[:2] = [Grant(second.serial, first.part.most(second.part), max(first.until, second.until))]
-        h.grants.append(Grant(serial, part, now + longest(self.term)))
-        # A sum is told, not what came since: a question that is lost, or comes twice, changes nothing.
-        if h.spilled >= 0:
-            self.reserve += max(0, spilled - h.spilled)
-        h.spilled = spilled
+        h.grants.append(Grant(serial, part, now + longest(min(lasts, self.term))))
         # The reserve has room for less now; what it gives along is in the holder's bucket, and no longer here.
         self.reserve = min(self.reserve, self._room().burst)
         add = int(min(self.reserve * ADD_PART, lacks, part.burst))
         self.reserve -= add
         return part, add
 
-    def urgent(self, now: float, who: int) -> bool:
-        """Whether a holder's part ends soon, so that it needs an answer before others."""
+    def hear(
+        self, now: float, who: int, serial: int, holding: int, demand: int, whole: Whole, spilled: int = 0
+    ) -> bool:
+        """What a question tells, which may be answered later; whether it may still be answered."""
+        self.settle(now)
+        h = self.holders.setdefault(who, Holder(whole))
+        if serial <= h.serial:
+            return serial == h.serial and serial > h.answered
+        h.serial, h.demand, h.asked_at, h.whole = serial, demand, now, whole
+        # Settings are read anew by one process after the other: as long as any has the smaller whole, it holds.
+        told = [x.whole for x in self.holders.values()]
+        rate, burst = min(w.rate for w in told), min(w.burst for w in told)
+        self.kept = Part(int(rate * KEPT_PART), int(burst * KEPT_PART))
+        self.whole = replace(whole, rate=rate - self.kept.rate, burst=burst - self.kept.burst)
+        h.grants = [g for g in h.grants if g.serial >= holding]
+        # A sum is told, not what came since: a question that is lost, or comes twice, changes nothing.
+        if h.spilled >= 0:
+            self.reserve = min(self.reserve + max(0, spilled - h.spilled), float(self._room().burst))
+        h.spilled = spilled
+        return True
+
+    def ends(self, now: float, who: int) -> float:
+        """When a holder's right is over; who has none is over by now."""
         h = self.holders.get(who)
-        return h is None or max((g.until for g in h.grants), default=now) - now < self.term / 2
+        return max((g.until for g in h.grants), default=now) if h is not None else now
 
     def settle(self, now: float) -> None:
         """Let time pass: grants end, the reserve fills by what nobody holds."""
@@ -166,10 +178,10 @@
             rows.append([who, serial, *astuple(h.counts()), int(left) + 1])
         return rows
 
-    def load(self, now: float, rows: list[list[int]]) -> None:
-        """Go on from a predecessor's ledger, at once."""
+    def load(self, now: float, rows: list[list[int]], wait_ms: float = 0.0) -> None:
+        """Go on from a predecessor's ledger, at once or after what is left of its wait."""
         for who, serial, rate, burst, left in rows:
             # Under the latest serial: whichever of the predecessor's grants it acts on, this covers it.
             grant = Grant(serial, Part(rate, burst), now + longest(left))
             self.holders[who] = Holder(UNKNOWN, 0, now, -1, 0, [grant] if rate or burst else [])
-        self.open_at = now
+        self.open_at = min(self.open_at, now + longest(wait_ms))
