--- a/rushweir/policy/decide.py
+++ b/rushweir/policy/decide.py
@@ -118,7 +118,10 @@
         if t.keeper == self.s.me:
             who = (self.s.me, t.number)
             return self.decide(t, self.quota.keep(c.hash, c.plan, units, now, who, c.over(t.own)), order)
-        if t.keeper is None or now + ASK_MS * len(ASKS) > t.r.not_after_ms:
+        if self.quota.known(t, now):
+            return self.decide(t, True, order)
+        behind = t.keeper not in (None, COUNTER) and self.quota.behind(c, now)
+        if t.keeper is None or behind or now + ASK_MS * len(ASKS) > t.r.not_after_ms:
             return self.decide(t, self.quota.even(t, now), order)
         if t.keeper == COUNTER:  # needs no timer: a call always ends by itself
             return [self.quota.call(c, units, t, now)]
--- a/rushweir/policy/quota.py
+++ b/rushweir/policy/quota.py
@@ -12,6 +12,7 @@
 ASKS = (0, 0, 1)  # who is asked in turn
 MAIL_BURST, MAIL_MOST = 15.0, 15  # messages at once, a quarter second's worth; entries that 256 bytes hold
 CALL_MS, PACED = (2.0, 2000.0), (0.95, 1.5)  # between calls of all gateways, and of one; after good and bad
+HEARD_LEFT, NEW_LEFT = 1 / 3, 2 / 3  # of the messages at once: with fewer left there is no question
 SURPLUS = 1.5  # times the burst: a total this far behind a full store is put right
 KEEN, LOW_PART = 1.2, 0.5  # times the share of tries granted: so many still ask, while the store is so low
 KEPT_PART = 1 / 3  # of a ceiling is its keeper's; the doors' even parts must do when nobody hears anybody
@@ -139,7 +140,8 @@
     def even(self, t: st.Ticket, now: float) -> bool:
         c, units, fresh = t.c, t.r.units, now - t.c.told < SILENT_MS
         inside = c.store.level >= units * fresh and c.store.level > 0 if c.plan.rate else not c.open
-        t.keeper = COUNTER if inside and fresh and self.how.counter else None
+        told = fresh if self.how.counter else self.how.peers and t.asks == 1
+        t.keeper = COUNTER if inside and told else None
         if t.keeper == COUNTER:
             self.owe(c, units)
         c.store.level -= units * inside * (1 if fresh else c.doors)
@@ -194,8 +196,36 @@
             c.pending += units
             self.owing[c.hash] = c
 
+    def known(self, t: st.Ticket, now: float) -> bool:
+        """Whether the keeper would say yes by what is known here, so that it is told later: only the own part of a
+        ceiling is asked for, or by a word not too old no more is demanded than flows in, and the door's even part
+        of the store's upper half holds the try. These parts add up to that half, whatever the doors do not hear."""
+        c, p, units = t.c, t.c.plan, t.r.units
+        if not t.own or p.open_limit or self.how.counter:
+            return False
+        if p.rate:
+            left, young = c.store.level - units * c.doors, now - c.told < SILENT_MS
+            if not young or c.share < 1 or left < LOW_PART * p.burst:
+                return False
+            c.store.level, t.keeper = left, COUNTER
+            self.owe(c, units)
+        return True
+
+    def tell(self, c: st.Customer) -> None:
+        """What was let in unasked goes to the keeper whose word it was."""
+        to = c.ranks[0] if c.by is None else c.by
+        if self.owing.pop(c.hash, None) and to != self.s.me:
+            self.mail.post(to, (DONE, c.index, c.hash, c.pending, 0, 0))
+        c.pending = 0.0
+
+    def behind(self, c: st.Customer, now: float) -> bool:
+        """Whether too few messages are left for a question: a word that comes late is of no use, and was asked for
+        twice more; answers go first, then those who have heard something, whose words change more."""
+        return self.mail.free(now) < MAIL_BURST * (HEARD_LEFT if c.by is not None else NEW_LEFT)
+
     def ask(self, t: st.Ticket) -> None:
         self.held[t.number] = t
+        self.tell(t.c)
         self.mail.post(t.keeper, (ASK, t.c.index, t.c.hash, t.r.units, t.c.over(t.own), t.number))
 
     def call(self, c: st.Customer, units: float, t: st.Ticket | None, now: float) -> i.Count:
@@ -235,8 +265,9 @@
                 self.mail.post(e.source, (told, index, key, store.level, int(min(share, 1) * 255), number))
             elif kind == DONE and key in self.kept:
                 self.kept[key].settle(units, (e.source, number) if over else None, plan.burst, over == 2)
+                self.kept[key].demand.add(units * (not number), now)  # not asked about before
             elif kind in (YES, NO) and c is not None:
-                c.learn(min(units, c.plan.burst), over / 255, now)
+                c.learn(min(units, c.plan.burst), over / 255, now, e.source)
                 if (t := self.held.pop(number, None)) is not None:
                     t.keeper = e.source
                     answered.append((t, kind == YES))
@@ -245,7 +276,10 @@
     def tick(self, now: float) -> list[i.Action]:
         calls: list[i.Action] = []
         self.mail.repeat()  # ends: of seven words one was lost on a fleet, and its place lay idle for a second
-        while self.owing and now >= self.next_call:
+        for c in [] if self.how.counter else [c for c in self.owing.values() if now - c.told >= SILENT_MS]:
+            if not self.behind(c, now):
+                self.tell(c)
+        while self.how.counter and self.owing and now >= self.next_call:
             calls.append(self.call(self.owing.popitem()[1], 0.0, None, now))
         if now - self.swept >= IDLE_MS / 10:
             self.swept = now
--- a/rushweir/state.py
+++ b/rushweir/state.py
@@ -132,6 +132,7 @@
         self.word = math.inf  # the level as it was told
         self.open, self.missed = 0, 0.0  # attempts out; units refused on a word since the keeper was asked
         self.pending, self.share, self.ceiling = 0.0, 1.0, 0.0 if plan.ceiling_rate else math.inf
+        self.by: int | None = None  # the gateway whose word it was
         self.through = 0, 1  # its first door, and how many from it on
         self.lent: Lent | None = None  # the part of the ceiling that it has, where ceilings are lent
 
@@ -140,8 +141,9 @@
         missed, self.missed = min(127, int(self.missed)), 0.0
         return (not own) + 2 * missed
 
-    def learn(self, level: float, share: float, now: float) -> None:
+    def learn(self, level: float, share: float, now: float, by: int | None = None) -> None:
         """Note the keeper's word."""
+        self.by = by
         self.store.level, self.word, self.share = level, level, share
         self.told = self.store.at = now
 
@@ -254,6 +256,10 @@
         for to, entry in repeats:
             self.post(to, entry)
 
+    def free(self, now: float) -> float:
+        """Messages that may go at once beside what waits."""
+        return min(self.burst, self.tokens + (now - self.at) * self.per_ms) - len(self.waiting)
+
     def flush(self, now: float) -> list[tuple[int, str]]:
         """What goes out now: each peer's entries together, as far as the tokens last."""
         self.tokens, self.at = min(self.burst, self.tokens + (now - self.at) * self.per_ms), now
