--- a/rushweir/policy/quota.py
+++ b/rushweir/policy/quota.py
@@ -138,10 +138,12 @@
         return c.plan.rate > 0 and (sieved or (age < SILENT_MS and c.store.level < units))
 
     def even(self, t: st.Ticket, now: float) -> bool:
-        c, units, fresh = t.c, t.r.units, now - t.c.told < SILENT_MS
+        c, units, asked = t.c, t.r.units, self.how.counter or t.asks > 1 or not self.how.peers
+        fresh = not asked or now - c.told < SILENT_MS
         inside = c.store.level >= units * fresh and c.store.level > 0 if c.plan.rate else not c.open
-        told = fresh if self.how.counter else self.how.peers and t.asks == 1
-        t.keeper = COUNTER if inside and told else None
+        inside = inside and (asked or now - c.told < MEMORY_MS and c.word < LOW_PART * c.plan.burst or self.rng.random() <= c.share)
+        c.missed += units * (not asked and not inside)
+        t.keeper = COUNTER if inside and (fresh and self.how.counter or not asked) else None
         if t.keeper == COUNTER:
             self.owe(c, units)
         c.store.level -= units * inside * (1 if fresh else c.doors)
@@ -205,7 +207,7 @@
             return False
         if p.rate:
             left, young = c.store.level - units * c.doors, now - c.told < SILENT_MS
-            if not young or c.share < 1 or left < LOW_PART * p.burst:
+            if not young or c.by != c.ranks[0] or c.share < 1 or left < LOW_PART * p.burst:
                 return False
             c.store.level, t.keeper = left, COUNTER
             self.owe(c, units)
@@ -221,7 +223,7 @@
     def behind(self, c: st.Customer, now: float) -> bool:
         """Whether too few messages are left for a question: a word that comes late is of no use, and was asked for
         twice more; answers go first, then those who have heard something, whose words change more."""
-        return self.mail.free(now) < MAIL_BURST * (HEARD_LEFT if c.by is not None else NEW_LEFT)
+        return self.mail.free(now) < MAIL_BURST * (HEARD_LEFT if c.by is not None or c.pending else NEW_LEFT)
 
     def ask(self, t: st.Ticket) -> None:
         self.held[t.number] = t
@@ -267,7 +269,8 @@
                 self.kept[key].settle(units, (e.source, number) if over else None, plan.burst, over == 2)
                 self.kept[key].demand.add(units * (not number), now)  # not asked about before
             elif kind in (YES, NO) and c is not None:
-                c.learn(min(units, c.plan.burst), over / 255, now, e.source)
+                if e.source == c.ranks[0] or now - c.told > MEMORY_MS:  # a second keeper knows little
+                    c.learn(min(units, c.plan.burst), over / 255, now, e.source)
                 if (t := self.held.pop(number, None)) is not None:
                     t.keeper = e.source
                     answered.append((t, kind == YES))
