--- a/rushweir/policy/quota.py
+++ b/rushweir/policy/quota.py
@@ -194,8 +194,8 @@
             self.mail.post(t.keeper, end, again=over and c.plan.open_limit > 0)
 
     def owe(self, c: st.Customer, units: float) -> None:
-        if units:
-            c.pending += units
+        c.pending += units
+        if units and self.how.counter:
             self.owing[c.hash] = c
 
     def known(self, t: st.Ticket, now: float) -> bool:
@@ -213,21 +213,18 @@
             self.owe(c, units)
         return True
 
-    def tell(self, c: st.Customer) -> None:
-        """What was let in unasked goes to the keeper whose word it was."""
-        to = c.ranks[0] if c.by is None else c.by
-        if self.owing.pop(c.hash, None) and to != self.s.me:
-            self.mail.post(to, (DONE, c.index, c.hash, c.pending, 0, 0))
-        c.pending = 0.0
-
     def behind(self, c: st.Customer, now: float) -> bool:
         """Whether too few messages are left for a question: a word that comes late is of no use, and was asked for
         twice more; answers go first, then those who have heard something, whose words change more."""
         return self.mail.free(now) < MAIL_BURST * (HEARD_LEFT if c.by is not None or c.pending else NEW_LEFT)
 
     def ask(self, t: st.Ticket) -> None:
-        self.held[t.number] = t
-        self.tell(t.c)
+        self.held[t.number], c = t, t.c
+        if t.keeper != c.ranks[0]:
+            c.mailed = 0.0
+        elif c.pending and (t.asks > 1 or not c.mailed):  # again if no answer has shown that it came
+            c.mailed = c.pending
+            self.mail.post(t.keeper, (DONE, c.index, c.hash, c.pending, 0, 0))
         self.mail.post(t.keeper, (ASK, t.c.index, t.c.hash, t.r.units, t.c.over(t.own), t.number))
 
     def call(self, c: st.Customer, units: float, t: st.Ticket | None, now: float) -> i.Count:
@@ -269,6 +266,8 @@
                 self.kept[key].settle(units, (e.source, number) if over else None, plan.burst, over == 2)
                 self.kept[key].demand.add(units * (not number), now)  # not asked about before
             elif kind in (YES, NO) and c is not None:
+                if e.source == c.ranks[0]:
+                    c.pending, c.mailed = c.pending - c.mailed, 0.0
                 if e.source == c.ranks[0] or now - c.told > MEMORY_MS:  # a second keeper knows little
                     c.learn(min(units, c.plan.burst), over / 255, now, e.source)
                 if (t := self.held.pop(number, None)) is not None:
@@ -279,10 +278,7 @@
     def tick(self, now: float) -> list[i.Action]:
         calls: list[i.Action] = []
         self.mail.repeat()  # ends: of seven words one was lost on a fleet, and its place lay idle for a second
-        for c in [] if self.how.counter else [c for c in self.owing.values() if now - c.told >= SILENT_MS]:
-            if not self.behind(c, now):
-                self.tell(c)
-        while self.how.counter and self.owing and now >= self.next_call:
+        while self.owing and now >= self.next_call:
             calls.append(self.call(self.owing.popitem()[1], 0.0, None, now))
         if now - self.swept >= IDLE_MS / 10:
             self.swept = now
--- a/rushweir/state.py
+++ b/rushweir/state.py
@@ -131,6 +131,7 @@
         self.store, self.ceiling_at, self.seen, self.told = store, began, store.at, -math.inf
         self.word = math.inf  # the level as it was told
         self.open, self.missed = 0, 0.0  # attempts out; units refused on a word since the keeper was asked
+        self.mailed = 0.0  # of what it owes, in a message that no answer has come to
         self.pending, self.share, self.ceiling = 0.0, 1.0, 0.0 if plan.ceiling_rate else math.inf
         self.by: int | None = None  # the gateway whose word it was
         self.through = 0, 1  # its first door, and how many from it on
