--- a/rushweir/policy/quota.py
+++ b/rushweir/policy/quota.py
@@ -143,7 +143,7 @@
         inside = c.store.level >= units * fresh and c.store.level > 0 if c.plan.rate else not c.open
         inside = inside and (asked or now - c.told < MEMORY_MS and c.word < LOW_PART * c.plan.burst or self.rng.random() <= c.share)
         c.missed += units * (not asked and not inside)
-        t.keeper = COUNTER if inside and (fresh and self.how.counter or not asked) else None
+        t.keeper = COUNTER if inside and (fresh or not self.how.counter) else None
         if t.keeper == COUNTER:
             self.owe(c, units)
         c.store.level -= units * inside * (1 if fresh else c.doors)
