--- a/rushweir/policy/quota.py
+++ b/rushweir/policy/quota.py
@@ -206,8 +206,9 @@
         if not t.own or p.open_limit or self.how.counter:
             return False
         if p.rate:
-            left, young = c.store.level - units * c.doors, now - c.told < SILENT_MS
-            if not young or c.by != c.ranks[0] or c.share < 1 or left < LOW_PART * p.burst:
+            life = SILENT_MS * max(1.0, 2 * c.doors / (self.how.messages_per_s + 1e-9))
+            left, young = c.store.level - units * c.doors, now - c.told < life
+            if not young or c.by != c.ranks[0] or left < 0:
                 return False
             c.store.level, t.keeper = left, COUNTER
             self.owe(c, units)
