--- a/rushweir/policy/decide.py
+++ b/rushweir/policy/decide.py
@@ -75,19 +75,15 @@
             return []
         if n < 0:  # still held: ask again
             return self.ask(t) if t.asks == -n and not t.sends else []
-        # Lost: it outlived several usual answers, and its server answered nobody since. Repeated if that can
-        # be in time: a server may go on with the first copy, and late repeats jammed a fleet (L33b1c1). Else
-        # its room is free: servers that swallowed half of what they got held three quarters of it. Guards
-        # against silent servers, cut links and lost answers too. Harm: a long request of a server that nobody
-        # else tries is sent twice, and where all are jammed alike B counts less than is in work.
+        # Lost: it outlived several usual answers, and its server answered nobody since. Repeated only in time: late
+        # repeats jammed a fleet (L33b1c1). Harm: with servers that nobody else tries, a long request is sent twice.
         b = self.fleet.servers.get(t.sends[n][0].address)
         if n not in t.out:
             return []
         alive = b is not None and b.answered >= t.sends[n][1]
         if alive and (more_ms or self.room.pressed(self.now)):
-            # Its server answers others: the request is long, or its own connection swallowed it. Long ones get as
-            # much time again, on slow kinds and cold servers more; then it is lost, unless the gateway is pressed,
-            # when all are long. Harm: the one in some hundred that is longer yet is begun anew.
+            # Its server answers others: it is long, or its connection swallowed it. Long ones get as much time again,
+            # on slow kinds and cold servers more; then it is lost, unless all are long. Harm: longer ones begin anew.
             return [self.later(t, n, more_ms)] if more_ms else []
         if self.s.limits.cancel and t.cls.effect is not i.Effect.UNSAFE and self.useful(t):
             return [i.Cancel(rid, n)]
@@ -107,10 +103,8 @@
         c, units, now = t.c, t.r.units, self.now
         own = int(c.plan.open_limit / c.doors + 0.5)
         if own and not c.plan.rate:
-            # A place lies with its keeper from the question until word of the end, on busy mail three times as long
-            # as the attempt is out, and for a second if that word is lost. Where each door has a place of its own
-            # to give it needs no word. Ends where doors outnumber places by two. Harm: a customer that asks
-            # through all doors at once gets up to half a place more for each of them.
+            # On busy mail a place lies with its keeper for long. Where each door has one of its own to give it needs
+            # no word. Harm: a customer that asks all doors at once gets up to half a place more for each of them.
             return self.decide(t, c.open < own, order)
         t.keeper = self.quota.keeper(c, t.asks, now)
         t.keeper = t.keeper if t.own or t.keeper == c.ranks[0] else None  # none but the first pays
@@ -120,8 +114,7 @@
             return self.decide(t, self.quota.keep(c.hash, c.plan, units, now, who, c.over(t.own)), order)
         if self.quota.known(t, now):
             return self.decide(t, True, order)
-        behind = t.keeper not in (None, COUNTER) and self.quota.behind(c, now)
-        if t.keeper is None or behind or now + ASK_MS * len(ASKS) > t.r.not_after_ms:
+        if t.keeper is None or now + ASK_MS * len(ASKS) > t.r.not_after_ms:
             return self.decide(t, self.quota.even(t, now), order)
         if t.keeper == COUNTER:  # needs no timer: a call always ends by itself
             return [self.quota.call(c, units, t, now)]
@@ -142,8 +135,7 @@
                 self.quota.settle(t, -r.units, True)
             return []
         server = self.fleet.choose(self.now, lambda e: True, set()) if inside or self.soft(c) else None
-        # Only now is room drawn: what waits for a keeper's word is in no server's work, and took most of B when
-        # words came late. What was let in to ask and finds B full by now is refused, its units given back.
+        # Only now is room drawn: what waits for a word is in no server's work, and took most of B.
         if server is not None and order is None:
             order = self.room.fits(r.cls, r.units, t.keep, self.now)
         if server is not None and order is not None and ((inside and self.quota.paid(t)) or self.quota.pay(t)):
--- a/rushweir/policy/quota.py
+++ b/rushweir/policy/quota.py
@@ -12,7 +12,7 @@
 ASKS = (0, 0, 1)  # who is asked in turn
 MAIL_BURST, MAIL_MOST = 15.0, 15  # messages at once, a quarter second's worth; entries that 256 bytes hold
 CALL_MS, PACED = (2.0, 2000.0), (0.95, 1.5)  # between calls of all gateways, and of one; after good and bad
-HEARD_LEFT, NEW_LEFT = 1 / 3, 2 / 3  # of the messages at once: with fewer left there is no question
+MAIL_LEFT = 1 / 3  # of the messages at once is kept for answers, twice that from newcomers: else none is asked
 SURPLUS = 1.5  # times the burst: a total this far behind a full store is put right
 KEEN, LOW_PART = 1.2, 0.5  # times the share of tries granted: so many still ask, while the store is so low
 KEPT_PART = 1 / 3  # of a ceiling is its keeper's; the doors' even parts must do when nobody hears anybody
@@ -55,24 +55,16 @@
             self.refill(c, now)
 
     def refill(self, c: st.Customer, now: float) -> None:
-        c.store.refill(c.plan.rate, c.plan.burst, now)
-        if c.plan.ceiling_rate and c.lent is not None:
-            full = c.ceiling + c.lent.rate * (now - c.ceiling_at) / 1000
-            c.ceiling, c.ceiling_at = min(full, c.lent.burst), now
-            c.lent.spilled += full - c.ceiling
-        elif c.plan.ceiling_rate:
-            own, ms = (1 - self.part(c.plan)) / c.doors, now - c.ceiling_at
-            c.ceiling = st.filled(c.ceiling, c.plan.ceiling_rate * own, c.plan.ceiling_burst * own, ms)
-            c.ceiling_at = now
+        c.refill(1 - self.part(c.plan), now)
 
     def lend(self, e: i.Part, now: float) -> None:
         """Another part of a ceiling. What its bucket has beyond the new burst is gone."""
         key = crc32(e.customer.encode()) if isinstance(e.customer, str) else e.customer
-        lent, c = self.lent.setdefault(key, st.Lent(now)), self.customers.get(key)
+        lent, c, store = self.lent.setdefault(key, st.Lent(now)), self.customers.get(key), self.kept.get(key)
         if e.kept:
-            if key in self.kept:
-                self.kept[key].fill_ceiling(*lent.kept, now)
-                self.kept[key].ceiling = min(self.kept[key].ceiling, e.burst)
+            if store is not None:
+                store.fill_ceiling(*lent.kept, now)
+                store.ceiling = min(store.ceiling, e.burst)
             lent.kept, lent.at = (e.rate, e.burst), now
             return
         if c is not None:
@@ -81,15 +73,10 @@
         lent.rate, lent.burst, lent.at = e.rate, e.burst, now
 
     def around(self, key: int, first: int, spread: int) -> tuple[int, list[int]]:
-        """How many doors a customer has, and its keepers among those that are there."""
-        count = self.s.gateways
-        doors = {(first + k) % count for k in range(min(spread, count))}
-        doors = doors.intersection(self.s.present) or doors
-        return len(doors), st.rendezvous(key, doors, 1 + max(ASKS))
+        return st.around(key, first, spread, self.s, 1 + max(ASKS))
 
     def part(self, plan: i.Plan) -> float:
-        """Of a ceiling the first keeper has a part, for doors whose even part of the rest is spent: busy ones of many
-        were shut well inside the quota. Harm: with nothing heard the doors have the rest alone."""
+        """Of a ceiling the first keeper has a part, for doors whose even part is spent; unheard it is idle."""
         return KEPT_PART if plan.ceiling_rate and self.how.peers and not self.how.counter else 0.0
 
     def pay(self, t: st.Ticket) -> bool:
@@ -128,32 +115,34 @@
             return COUNTER if c.plan.rate and not asks and now >= self.next_call else None
         if asks >= len(ASKS) or not (self.how.peers or c.ranks == [self.s.me]):
             return None
-        return c.ranks[min(ASKS[asks], len(c.ranks) - 1)]
+        to = c.ranks[min(ASKS[asks], len(c.ranks) - 1)]
+        # A word that comes late is of no use, and was asked for twice more. Answers go first, newcomers last.
+        least = MAIL_LEFT * MAIL_BURST * (1 if c.pending or c.by is not None else 2)
+        return to if to == self.s.me or self.mail.free(now) >= least else None
 
     def vain(self, c: st.Customer, units: float, now: float) -> bool:
         """Whether by a fresh word the store has too little; or so little, by one not too old, that only a share asks:
         all doors draw on it, and where words were lost for too much mail all asked again and lost more."""
-        age = now - c.told
-        sieved = c.word < LOW_PART * c.plan.burst and age < MEMORY_MS and self.rng.random() > KEEN * c.share
-        return c.plan.rate > 0 and (sieved or (age < SILENT_MS and c.store.level < units))
+        sieved = c.low(LOW_PART, now - MEMORY_MS) and self.rng.random() > KEEN * c.share
+        return c.plan.rate > 0 and (sieved or (now - c.told < SILENT_MS and c.store.level < units))
 
     def even(self, t: st.Ticket, now: float) -> bool:
+        """Where no keeper was asked for lack of mail, the share last told decides (once); where none answered, the
+        even part. What is let in is told later, twice if the question came and its answer did not."""
         c, units, asked = t.c, t.r.units, self.how.counter or t.asks > 1 or not self.how.peers
         fresh = not asked or now - c.told < SILENT_MS
         inside = c.store.level >= units * fresh and c.store.level > 0 if c.plan.rate else not c.open
-        inside = inside and (asked or now - c.told < MEMORY_MS and c.word < LOW_PART * c.plan.burst or self.rng.random() <= c.share)
+        inside = inside and (asked or c.low(LOW_PART, now - MEMORY_MS) or self.rng.random() <= c.share)
         c.missed += units * (not asked and not inside)
         t.keeper = COUNTER if inside and (fresh or not self.how.counter) else None
-        if t.keeper == COUNTER:
-            self.owe(c, units)
+        self.owe(c, units * (t.keeper == COUNTER))
         c.store.level -= units * inside * (1 if fresh else c.doors)
         return inside
 
     def keep(self, key: int, plan: i.Plan, units: float, now: float, who: tuple[int, int], over=0) -> bool:
-        """A place is known by gateway and number: by order alone, each end whose word was lost cost the
-        customer a place for as long as it kept asking (h499d24). A question asked again takes nothing. ``over``:
-        1 if the door has nothing left of the ceiling, and 2 for each unit it refused on a word since it last asked:
-        by questions alone the share told grew as doors asked less, and mail of busy customers was dropped."""
+        """A place is known by gateway and number, not by order: ends get lost (h499d24). A question asked again takes
+        nothing. ``over``: 1 if the door has nothing left of the ceiling, and 2 for each unit that it refused on a
+        word since it last asked, or the share would grow as doors ask less."""
         if (store := self.kept.get(key)) is None:
             store = self.kept[key] = st.Store(plan.burst, MEMORY_MS, now)
             store.ceiling_at = self.began  # of the ceiling a predecessor may have spent all
@@ -178,9 +167,8 @@
         store, p, part = self.kept.get(c.hash, c.store), c.plan, self.part(c.plan)
         quota = max(0.0, units - store.level) * 1000 / (p.rate * c.share + 1e-9) * (p.rate > 0)
         # The own part of a ceiling fills by itself; no advice at all would bring the try back at once, in vain.
-        lacks, rate = max(0.0, units - c.ceiling) * c.doors * (own or not part), p.ceiling_rate * (1 - part)
-        if c.lent is not None and c.lent.rate:
-            rate = c.lent.rate * c.doors
+        lacks = max(0.0, units - c.ceiling) * c.doors * (own or not part)
+        rate = c.lent.rate * c.doors if c.lent and c.lent.rate else p.ceiling_rate * (1 - part)
         return max(quota, lacks * 1000 / rate if lacks else 0.0)
 
     def settle(self, t: st.Ticket, more: float, over: bool) -> None:
@@ -199,33 +187,22 @@
             self.owing[c.hash] = c
 
     def known(self, t: st.Ticket, now: float) -> bool:
-        """Whether the keeper would say yes by what is known here, so that it is told later: only the own part of a
-        ceiling is asked for, or by a word not too old no more is demanded than flows in, and the door's even part
-        of the store's upper half holds the try. These parts add up to that half, whatever the doors do not hear."""
-        c, p, units = t.c, t.c.plan, t.r.units
-        if not t.own or p.open_limit or self.how.counter:
+        """Whether it is let in unasked, and told later: there is no quota but a ceiling, or the door's even part of
+        the store that its first keeper told holds the try. A word counts while a keeper can answer all doors with
+        half of its messages. Harm: other demand shows that much later."""
+        c, p, left = t.c, t.c.plan, t.c.store.level - t.r.units * t.c.doors
+        life = SILENT_MS * max(1.0, 2 * c.doors / (self.how.messages_per_s + 1e-9))
+        heard = left >= 0 and now - c.told <= life and c.by == c.ranks[0]
+        if not t.own or p.open_limit or self.how.counter or (p.rate and not heard):
             return False
-        if p.rate:
-            life = SILENT_MS * max(1.0, 2 * c.doors / (self.how.messages_per_s + 1e-9))
-            left, young = c.store.level - units * c.doors, now - c.told < life
-            if not young or c.by != c.ranks[0] or left < 0:
-                return False
-            c.store.level, t.keeper = left, COUNTER
-            self.owe(c, units)
+        t.keeper, c.store.level = COUNTER, left
+        self.owe(c, t.r.units)
         return True
 
-    def behind(self, c: st.Customer, now: float) -> bool:
-        """Whether too few messages are left for a question: a word that comes late is of no use, and was asked for
-        twice more; answers go first, then those who have heard something, whose words change more."""
-        return self.mail.free(now) < MAIL_BURST * (HEARD_LEFT if c.by is not None or c.pending else NEW_LEFT)
-
     def ask(self, t: st.Ticket) -> None:
-        self.held[t.number], c = t, t.c
-        if t.keeper != c.ranks[0]:
-            c.mailed = 0.0
-        elif c.pending and (t.asks > 1 or not c.mailed):  # again if no answer has shown that it came
-            c.mailed = c.pending
-            self.mail.post(t.keeper, (DONE, c.index, c.hash, c.pending, 0, 0))
+        self.held[t.number] = t
+        if units := t.c.tell(t.keeper, t.asks > 1):
+            self.mail.post(t.keeper, (DONE, t.c.index, t.c.hash, units, 0, 0))
         self.mail.post(t.keeper, (ASK, t.c.index, t.c.hash, t.r.units, t.c.over(t.own), t.number))
 
     def call(self, c: st.Customer, units: float, t: st.Ticket | None, now: float) -> i.Count:
@@ -263,13 +240,11 @@
                 told = YES if self.keep(key, plan, units, now, (e.source, number), over) else NO
                 store, share = self.kept[key], plan.rate / (self.kept[key].demand.per_s(now) + 1e-9)
                 self.mail.post(e.source, (told, index, key, store.level, int(min(share, 1) * 255), number))
-            elif kind == DONE and key in self.kept:
-                self.kept[key].settle(units, (e.source, number) if over else None, plan.burst, over == 2)
-                self.kept[key].demand.add(units * (not number), now)  # not asked about before
+            elif kind == DONE and (store := self.kept.get(key)):
+                store.settle(units, (e.source, number) if over else None, plan.burst, over == 2)
+                store.demand.add(units * (not number), now)  # was not asked about
             elif kind in (YES, NO) and c is not None:
-                if e.source == c.ranks[0]:
-                    c.pending, c.mailed = c.pending - c.mailed, 0.0
-                if e.source == c.ranks[0] or now - c.told > MEMORY_MS:  # a second keeper knows little
+                if c.heard(e.source) or now - c.told > MEMORY_MS:  # a second keeper knows little
                     c.learn(min(units, c.plan.burst), over / 255, now, e.source)
                 if (t := self.held.pop(number, None)) is not None:
                     t.keeper = e.source
--- a/rushweir/policy/room.py
+++ b/rushweir/policy/room.py
@@ -66,9 +66,8 @@
         self.parts.resize(1 + max(ranges.values()), [(ranges[n], f / whole * room) for n, f in f2.items()])
 
     def bank(self, now: float) -> float:
-        """Room not used so far, in units times ms: it pays for what a gateway has in flight beyond B, for a
-        request larger than B or for chance. So all gateways together have no more in flight over time than
-        all their B, however many they are (L33b1c1: each added a root). Guards restarts of many gateways too.
+        """Room not used so far, in units times ms: it pays for what is in flight beyond B, a large request or chance,
+        so that all gateways have no more in flight over time than all their B (L33b1c1: each added a root).
         Harm: after a long request a gateway with a room below one stays shut for a while."""
         sizes, used = sum(self.parts.sizes), sum(self.parts.used)
         self.credit = min(self.most, self.credit + (sizes - used) * (now - self.at))
@@ -76,8 +75,7 @@
         return self.credit
 
     def keep(self, name: str, price: float) -> float:
-        """The part of the room that a request leaves free for dearer ones."""
-        # Length stands for profit in the paper; here worth does too, so cheap work leaves room for dear work.
+        """The part of the room that a request leaves free for dearer ones: in the paper length alone is profit."""
         value = self.classes[name].worth * price / self.length[name].value
         self.value += VALUE_ALPHA * (value - self.value)
         return KEEP_PART * max(0.0, 1 - value / self.value)
--- a/rushweir/policy/servers.py
+++ b/rushweir/policy/servers.py
@@ -62,8 +62,7 @@
         looked = lots + [b for b in self.rng.sample(more, min(SAMPLE, len(more))) if allowed(b.entry)]
         able = {b: b.weight * self.warmth(b, now) for b in looked}
         bad = {b: 1e6 * b.fails(bar, now) + 1e3 * (b.entry.address in avoid) for b in looked}
-        # Slow start: a cold server gets its warmth's part of what warm ones of its size get, by lot. Bounds on what
-        # each gateway sent it lately left cold ones idle where a gateway has a few requests in all that time.
+        # Slow start: a cold server gets its warmth's part of what warm ones get, by lot: bounds left it idle.
         sound = [b for b in lots if not bad[b]] or lots
         drawn = self.rng.choices(sound, [able[b] for b in sound])[0] if sound else None
         if drawn is None or able[drawn] < drawn.weight:
--- a/rushweir/state.py
+++ b/rushweir/state.py
@@ -137,11 +137,44 @@
         self.through = 0, 1  # its first door, and how many from it on
         self.lent: Lent | None = None  # the part of the ceiling that it has, where ceilings are lent
 
+    def refill(self, part: float, now: float) -> None:
+        """Fill the store, and of the ceiling what is lent, or this door's own of an even part for all."""
+        p = self.plan
+        self.store.refill(p.rate, p.burst, now)
+        if p.ceiling_rate and self.lent is not None:
+            full = self.ceiling + self.lent.rate * (now - self.ceiling_at) / 1000
+            self.ceiling, self.ceiling_at = min(full, self.lent.burst), now
+            self.lent.spilled += full - self.ceiling
+        elif p.ceiling_rate:
+            own, ms = part / self.doors, now - self.ceiling_at
+            full = filled(self.ceiling, p.ceiling_rate * own, p.ceiling_burst * own, ms)
+            self.ceiling, self.ceiling_at = full, now
+
     def over(self, own: bool) -> int:
         """What a question tells beside its units: whether the keeper is to pay of the ceiling; what was refused."""
         missed, self.missed = min(127, int(self.missed)), 0.0
         return (not own) + 2 * missed
 
+    def low(self, part: float, since: float) -> bool:
+        """Whether the store was told to be below this part of the burst, after ``since``."""
+        return self.word < part * self.plan.burst and self.told > since
+
+    def tell(self, to: int, again: bool) -> float:
+        """Units that its first keeper is to be told of with a question; none while its answer may be under way."""
+        if to != self.ranks[0]:
+            self.mailed = 0.0
+        elif self.mailed and not again:
+            return 0.0
+        else:
+            self.mailed = self.pending
+        return self.mailed
+
+    def heard(self, source: int) -> bool:
+        """Whether this is its first keeper, which has by now what it was told."""
+        if first := source == self.ranks[0]:
+            self.pending, self.mailed = self.pending - self.mailed, 0.0
+        return first
+
     def learn(self, level: float, share: float, now: float, by: int | None = None) -> None:
         """Note the keeper's word."""
         self.by = by
@@ -281,6 +314,13 @@
     return nsmallest(count, among, key=lambda p: crc32(b"%d %d" % (key, p)))
 
 
+def around(key: int, first: int, spread: int, s: i.Settings, count: int) -> tuple[int, list[int]]:
+    """How many doors a customer has, and its few keepers among those that are there."""
+    doors = {(first + k) % s.gateways for k in range(min(spread, s.gateways))}
+    doors = doors.intersection(s.present) or doors
+    return len(doors), rendezvous(key, doors, count)
+
+
 def unpack(form: Struct, text: str) -> list[tuple]:
     """The entries of a message; none if the text is not a message of ours."""
     try:
