--- a/rushweir/policy/quota.py
+++ b/rushweir/policy/quota.py
@@ -191,7 +191,7 @@
         the store that its first keeper told holds the try. A word counts while a keeper can answer all doors with
         half of its messages. Harm: other demand shows that much later."""
         c, p, left = t.c, t.c.plan, t.c.store.level - t.r.units * t.c.doors
-        life = SILENT_MS * max(1.0, 2 * c.doors / (self.how.messages_per_s + 1e-9))
+        life = min(SILENT_MS * max(1.0, 2 * c.doors / (self.how.messages_per_s + 1e-9)), IDLE_MS)
         heard = left >= 0 and now - c.told <= life and c.by == c.ranks[0]
         if not t.own or p.open_limit or self.how.counter or (p.rate and not heard):
             return False
