Without mail a plan without a rate goes by its own place, not by a share of nothing

Seen on reading: a keeper tells a share of rate over demand, which is 0 where a plan has no rate, so with no message to spare each try of an at-once plan was refused after its first word (Quota.even). Now the share decides only where there is a rate, and such plans owe nothing. The new test fails without it.

--- a/rushweir/policy/quota.py
+++ b/rushweir/policy/quota.py
@@ -10,9 +10,8 @@
 from rushweir.policy.times import MEMORY_MS, SILENT_MS
 
 ASKS = (0, 0, 1)  # who is asked in turn
-MAIL_BURST, MAIL_MOST = 15.0, 15  # messages at once, a quarter second's worth; entries that 256 bytes hold
+MAIL_BURST, MAIL_MOST, MAIL_LEFT = 15.0, 15, 5.0  # messages at once: 1/4 s; entries in 256 bytes; left for answers
 CALL_MS, PACED = (2.0, 2000.0), (0.95, 1.5)  # between calls of all gateways, and of one; after good and bad
-MAIL_LEFT = 1 / 3  # of the messages at once is kept for answers, twice that from newcomers: else none is asked
 SURPLUS = 1.5  # times the burst: a total this far behind a full store is put right
 KEEN, LOW_PART = 1.2, 0.5  # times the share of tries granted: so many still ask, while the store is so low
 KEPT_PART = 1 / 3  # of a ceiling is its keeper's; the doors' even parts must do when nobody hears anybody
@@ -117,7 +116,7 @@
             return None
         to = c.ranks[min(ASKS[asks], len(c.ranks) - 1)]
         # A word that comes late is of no use, and was asked for twice more. Answers go first, newcomers last.
-        least = MAIL_LEFT * MAIL_BURST * (1 if c.pending or c.by is not None else 2)
+        least = MAIL_LEFT * (1 if c.pending or c.by is not None else 2)
         return to if to == self.s.me or self.mail.free(now) >= least else None
 
     def vain(self, c: st.Customer, units: float, now: float) -> bool:
@@ -127,12 +126,13 @@
         return c.plan.rate > 0 and (sieved or (now - c.told < SILENT_MS and c.store.level < units))
 
     def even(self, t: st.Ticket, now: float) -> bool:
-        """Where no keeper was asked for lack of mail, the share last told decides (once); where none answered, the
-        even part. What is let in is told later, twice if the question came and its answer did not."""
+        """Unasked for lack of mail the share last told decides (once); where none answered, the even part. What is
+        let in is told later, twice if the question came and its answer did not."""
         c, units, asked = t.c, t.r.units, self.how.counter or t.asks > 1 or not self.how.peers
         fresh = not asked or now - c.told < SILENT_MS
         inside = c.store.level >= units * fresh and c.store.level > 0 if c.plan.rate else not c.open
-        inside = inside and (asked or c.low(LOW_PART, now - MEMORY_MS) or self.rng.random() <= c.share)
+        once = asked or not c.plan.rate or c.low(LOW_PART, now - MEMORY_MS)
+        inside = inside and (once or self.rng.random() <= c.share)
         c.missed += units * (not asked and not inside)
         t.keeper = COUNTER if inside and (fresh or not self.how.counter) else None
         self.owe(c, units * (t.keeper == COUNTER))
@@ -166,7 +166,7 @@
         """Advice, where the keeper's store or the own part of the ceiling lacks so much."""
         store, p, part = self.kept.get(c.hash, c.store), c.plan, self.part(c.plan)
         quota = max(0.0, units - store.level) * 1000 / (p.rate * c.share + 1e-9) * (p.rate > 0)
-        # The own part of a ceiling fills by itself; no advice at all would bring the try back at once, in vain.
+        # The own part of a ceiling fills by itself; without advice the try would be back at once, in vain.
         lacks = max(0.0, units - c.ceiling) * c.doors * (own or not part)
         rate = c.lent.rate * c.doors if c.lent and c.lent.rate else p.ceiling_rate * (1 - part)
         return max(quota, lacks * 1000 / rate if lacks else 0.0)
@@ -182,7 +182,7 @@
             self.mail.post(t.keeper, end, again=over and c.plan.open_limit > 0)
 
     def owe(self, c: st.Customer, units: float) -> None:
-        c.pending += units
+        c.pending += units * (c.plan.rate > 0)
         if units and self.how.counter:
             self.owing[c.hash] = c
 
--- a/tests/test_quota_mail.py
+++ b/tests/test_quota_mail.py
@@ -184,3 +184,19 @@
         net.ask(k % 4, plan="ceiling")
     net.run(500.0)
     assert net.sent() <= 40 + 4
+
+
+def test_without_mail_a_plan_without_a_rate_is_not_held_to_a_share(make):
+    """A keeper tells a share of nothing where there is no rate: each try after a word was refused."""
+    gateway = make(gateways=9, sharing=i.Sharing(peers=True, messages_per_s=0.001))
+    quota = gateway.policy.quota
+    name = next(f"c{k}" for k in range(99) if st.rendezvous(crc32(b"c%d" % k), set(range(9)), 1)[0])
+    quota.mail.tokens = 0.0
+    for _ in range(5):
+        rid, action = gateway.ask(plan="open", customer=name, spread=9)
+        assert isinstance(action, i.Send)
+        gateway.end(rid, action)
+        customer = quota.customers[crc32(name.encode())]
+        customer.learn(0.0, 0.0, gateway.now, customer.ranks[0])
+        gateway.now += 100.0
+    assert customer.pending == 0.0  # nor is anything to be told
