--- a/rushweir/fleet/core.py
+++ b/rushweir/fleet/core.py
@@ -123,6 +123,7 @@
         except (ValueError, TypeError, IndexError, KeyError):
             self.counts["bad_bodies"] += 1  # of a member with another version of the program, or a faulty one
             return
+        self.members.heard_of(sender)
         m = self.members.known.get(sender)
         if m is not None and m.state == DEAD and self.may_spend():
             self.send(f.ROWS, sender, [[self.table.row((MEMBER, sender))]])  # so that it objects
--- a/rushweir/fleet/handlers.py
+++ b/rushweir/fleet/handlers.py
@@ -63,6 +63,11 @@
     fleet.members.answered_for(whole(number), whole(target))
 
 
+def nack_for(fleet: Fleet, sender: int, body: list) -> None:
+    number, target = body
+    fleet.members.not_reached_by(sender, whole(number), whole(target))
+
+
 def digest(fleet: Fleet, sender: int, body: list) -> None:
     fleet.exchange.differs(sender, body[0], body[1] is True)
 
@@ -175,7 +180,7 @@
 
 HANDLERS: dict[int, Callable[[Any, int, list], None]] = {
     f.JOIN: join, f.WELCOME: welcome, f.PING: ping, f.ACK: ack, f.PING_FOR: ping_for, f.ACK_FOR: ack_for,
-    f.DIGEST: digest, f.VERSIONS: versions, f.ROWS: rows,
+    f.NACK_FOR: nack_for, f.DIGEST: digest, f.VERSIONS: versions, f.ROWS: rows,
     f.PREPARE: prepare, f.PROMISE: promise, f.PROPOSE: propose, f.ACCEPT: accept, f.RELEASE: release,
     f.VIEW_PUT: view_put, f.VIEW_ACK: view_ack, f.VIEW_WANT: view_want, f.VIEW_PAGE: view_page,
     f.SEAT_ASK: seat_ask, f.SEAT_NO: seat_no, f.SEAT_FREE: seat_free, f.SEAT_FREED: seat_freed, f.APP: app,
--- a/rushweir/fleet/members.py
+++ b/rushweir/fleet/members.py
@@ -18,6 +18,7 @@
 
 from __future__ import annotations
 
+from collections import OrderedDict
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -45,6 +46,8 @@
 MOST_HEALTH = 8  # times the usual patience, at worst
 STALE_PART, STALE_MS = 1 / 4, 1_200.0  # of a view's term, and at most: word that it is in force is stale then
 CHAIR_ASKED = 6  # members that ask the chair in each period, at most
+LATELY, LATELY_MS = 16, 1_000.0  # members that were heard last are remembered, and may be relied on for so long
+CLEARED = 2  # failed probes in a row that helpers confirm: then the fault is not here
 MOST_ZONE = 32  # bytes of a zone's name as it is told
 
 
@@ -91,6 +94,9 @@
         self.serial = 0
         self.helping: dict[int, tuple[int, int, int]] = {}  # own probe for another: who asked, its number, the target
         self.health = 0  # how far this process mistrusts itself
+        self.lately: OrderedDict[int, float] = OrderedDict()  # who was heard, and when: latest last
+        self.waited: set[int] | None = None  # helpers that were lately heard and owe an answer; None: none was asked
+        self.cleared = 0  # failed probes in a row in which no helper was missing
         self.due = 0.0
 
     # --- what is known ---------------------------------------------------------------------------
@@ -181,13 +187,13 @@
             self.health = min(MOST_HEALTH, self.health + 1 + int(late / (4 * PERIOD_MS)))
             self.probe = None
         if self.probe is not None:
-            self.health = min(MOST_HEALTH, self.health + 1)
+            self._blame()
             self._judge(self.probe[1], SILENT)
             self.probe = None
         self.helping = {n: h for n, h in self.helping.items() if n > self.serial - 64}
         if (target := self._next()) is not None:
             self.serial += 1
-            self.probe = (self.serial, target)
+            self.probe, self.waited = (self.serial, target), None
             self.fleet.ping(f.PING, target, self.serial)
             self.fleet.at(ANSWER_MS * (1 + self.health / 4), self._ask_others, self.probe)
         self._ask_chair()
@@ -218,12 +224,33 @@
         self.rng.shuffle(self.round)
         return self.round.pop() if self.round else None
 
+    def _blame(self) -> None:
+        """A probe failed: is the fault here? Lifeguard (3.1) goes by the answers of helpers, not by the target's:
+        where most of a fleet is gone nearly each probe fails, and who probes is well. It is where all helpers that
+        were lately heard answered, twice in a row: in noise a single time is often luck. Where none of three did,
+        rather this process is deaf than they."""
+        if self.waited is not None and not self.waited:
+            self.cleared += 1
+        else:
+            self.cleared = 0
+        if self.cleared >= CLEARED:
+            self.health = max(0, self.health - 2)  # two round trips at least went well
+        else:
+            missing = len(self.waited) if self.waited is not None else 0
+            self.health = min(MOST_HEALTH, self.health + (2 if missing == HELPERS else 1))
+
     def _ask_others(self, probe: tuple[int, int]) -> None:
+        """Helpers are first of all such as were heard lately: who is gone itself helps nobody, and only of those is
+        the lack of an answer a sign."""
         if self.probe != probe:
             return
-        others = [m for m in self.alive() if m.id != probe[1] and m.state == ALIVE]
-        for helper in self.rng.sample(others, min(HELPERS, len(others))):
-            self.fleet.send(f.PING_FOR, helper.id, [probe[0], probe[1]])
+        others = [m.id for m in self.alive() if m.id != probe[1] and m.state == ALIVE]
+        self.rng.shuffle(others)
+        sure = {id_ for id_, at in self.lately.items() if self.fleet.now - at <= LATELY_MS}
+        helpers = sorted(others, key=lambda id_: id_ not in sure)[:HELPERS]
+        self.waited = sure.intersection(helpers) or None
+        for helper in helpers:
+            self.fleet.send(f.PING_FOR, helper, [probe[0], probe[1]])
 
     def asked_for(self, sender: int, number: int, target: int) -> None:
         """Another could not reach a member, and asks whether this one can."""
@@ -233,6 +260,19 @@
         self.serial += 1
         self.helping[self.serial] = (sender, number, target)
         self.fleet.ping(f.PING, target, self.serial)
+        self.fleet.at(ANSWER_MS, self._not_reached, self.serial)
+
+    def _not_reached(self, number: int) -> None:
+        """The target does not answer this member either: who asked may trust itself."""
+        if (asked := self.helping.get(number)) is not None:
+            self.fleet.send(f.NACK_FOR, asked[0], [asked[1], asked[2]])
+
+    def heard_of(self, sender: int) -> None:
+        """Any datagram of a member came."""
+        self.lately[sender] = self.fleet.now
+        self.lately.move_to_end(sender)
+        if len(self.lately) > LATELY:
+            self.lately.popitem(last=False)
 
     def answered(self, sender: int, number: int) -> None:
         """A probe of this member's was answered."""
@@ -245,3 +285,8 @@
     def answered_for(self, number: int, target: int) -> None:
         if self.probe == (number, target):
             self.probe = None
+
+    def not_reached_by(self, helper: int, number: int, target: int) -> None:
+        """A helper had no answer of the target."""
+        if self.probe == (number, target) and self.waited is not None:
+            self.waited.discard(helper)
