Where much of a table is lacking members are sent what they lack, not whole parts

The chair had given all seats after 9 to 11 s and 20 s; what lasts is entries on their way: 200 and 600 for each member. 5.3 to 7.5 datagrams a second of each carried six entries each, 32 to 45 entries, of which 15 to 20 were new: where more than a quarter of the parts differ, Exchange.differs sent whole parts unseen, and so did the other side.

The receiver of such a digest now tells two bytes of each entry of as many parts as fit a datagram (SKETCH); the other sends what is not among them, seats first, and tells the same of its own. Two entries of one mark are told apart by versions, once little differs.

--- a/rushweir/fleet/exchange.py
+++ b/rushweir/fleet/exchange.py
@@ -2,18 +2,19 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from rushweir.fleet import frame as f
 from rushweir.fleet.budget import Budget
 from rushweir.fleet.members import ALIVE, SUSPECT
 from rushweir.fleet.settings import JOIN_MS, REST_MS
-from rushweir.fleet.table import HEADING, MEMBER, PARTS, SEAT, fitting
+from rushweir.fleet.table import HEADING, MARK, MEMBER, PARTS, SEAT, fitting
 
 if TYPE_CHECKING:
     from rushweir.fleet.core import Fleet
 
 ROWS_ROOM, VERSIONS_ROOM = f.MOST_BODY - 8, f.MOST_BODY - 16  # bytes of entries, of versions, in a datagram
+SKETCH_ROOM = f.MOST_BODY - 8  # bytes of marks and of the numbers of parts
 MOST_EXCHANGED = 2  # parts of the table that one comparison leads to
 SOON_MS = 200.0  # until the next comparison after one that brought something new
 MUCH = 1 / 4  # of the parts differ: then about as many entries are lacking as their versions would take
@@ -87,9 +88,9 @@
         self.fleet.send(f.DIGEST, to, [self.fleet.table.digest(), answer])
 
     def differs(self, sender: int, digest: bytes, answer: bool) -> None:
-        """Another's digest came. Where much differs, entries are sent as they are, some parts of them, and so does
-        the other; where little does, versions of a part or two are compared first. ``answer``: the other wants
-        entries and gives none, so that small parts go as they are: two datagrams on the way, not four."""
+        """Another's digest came. Where much differs, two bytes of each entry are told, and each side sends what the
+        other lacks; where little does, versions of a part or two are compared first. ``answer``: the other wants
+        entries and gives none, so that parts go as they are: two datagrams on the way, not four."""
         fleet, table, sent = self.fleet, self.fleet.table, 0
         parts = table.differing(digest)
         self.rng.shuffle(parts)
@@ -103,15 +104,45 @@
                 elif fleet.may_spend():
                     self.tell_versions(sender, part, table.versions(part), True)
             return
+        if not answer:
+            if fleet.may_spend():
+                self._send_sketch(sender, parts, True)
+            return
         for part in parts:
             if sent < MOST_WHOLE:
                 sent += self._send_rows(sender, [table.row(k) for k in table.keys(part)])
-        if not answer and fleet.may_spend():
-            self._send_digest(sender, True)
 
-    def _send_rows(self, to: int, rows: list) -> int:
+    def _send_sketch(self, to: int, parts: list[int], answer: bool) -> None:
+        """Tell what is held here of as many parts as fit; the other sends what is lacking of them, and with
+        ``answer`` tells the same of its own."""
+        told, marks = [], b""
+        for part in parts:
+            more = self.fleet.table.marks(part)
+            if 2 * len(told) + len(marks) + len(more) + 2 <= SKETCH_ROOM:
+                told.append(part)
+                marks += more
+        if told:
+            self.fleet.send(f.SKETCH, to, [told, marks, answer])
+        elif answer:
+            self._send_digest(to, True)  # no part fits: entries come as they are
+
+    def sketched(self, sender: int, parts: Any, marks: Any, answer: bool) -> None:
+        """Another told of some parts what it holds. Seats go first: a number is known to be one's own with the whole
+        view. Raises TypeError where it is no sketch."""
+        if not isinstance(parts, list) or not isinstance(marks, bytes):
+            raise TypeError("a sketch")
+        held = {marks[k : k + MARK] for k in range(0, len(marks), MARK)}
+        parts = sorted({p for p in parts if type(p) is int and 0 <= p < PARTS})
+        lacks = [key for part in parts for key in self.fleet.table.unmarked(part, held)]
+        self.rng.shuffle(lacks)
+        lacks.sort(key=lambda key: key[0] == MEMBER)
+        self._send_rows(sender, [self.fleet.table.row(key) for key in lacks], MOST_WHOLE)
+        if answer and self.fleet.may_spend():
+            self._send_sketch(sender, parts, False)
+
+    def _send_rows(self, to: int, rows: list, most: int | None = None) -> int:
         sent = 0
-        for portion in fitting(rows, ROWS_ROOM):
+        for portion in fitting(rows, ROWS_ROOM)[:most]:
             if self.fleet.may_spend():
                 self.fleet.send(f.ROWS, to, [portion])
                 sent += 1
--- a/rushweir/fleet/handlers.py
+++ b/rushweir/fleet/handlers.py
@@ -77,6 +77,11 @@
     fleet.exchange.versions(sender, whole(part), all_ is True, answer is True, theirs)
 
 
+def sketch(fleet: Fleet, sender: int, body: list) -> None:
+    parts, marks, answer = body
+    fleet.exchange.sketched(sender, parts, marks, answer is True)
+
+
 def rows(fleet: Fleet, sender: int, body: list) -> None:
     fleet.merge(body[0])
 
@@ -180,7 +185,7 @@
 
 HANDLERS: dict[int, Callable[[Any, int, list], None]] = {
     f.JOIN: join, f.WELCOME: welcome, f.PING: ping, f.ACK: ack, f.PING_FOR: ping_for, f.ACK_FOR: ack_for,
-    f.NACK_FOR: nack_for, f.DIGEST: digest, f.VERSIONS: versions, f.ROWS: rows,
+    f.NACK_FOR: nack_for, f.DIGEST: digest, f.VERSIONS: versions, f.SKETCH: sketch, f.ROWS: rows,
     f.PREPARE: prepare, f.PROMISE: promise, f.PROPOSE: propose, f.ACCEPT: accept, f.RELEASE: release,
     f.VIEW_PUT: view_put, f.VIEW_ACK: view_ack, f.VIEW_WANT: view_want, f.VIEW_PAGE: view_page,
     f.SEAT_ASK: seat_ask, f.SEAT_NO: seat_no, f.SEAT_FREE: seat_free, f.SEAT_FREED: seat_freed, f.APP: app,
--- a/rushweir/fleet/table.py
+++ b/rushweir/fleet/table.py
@@ -20,6 +20,7 @@
 
 PARTS = 48  # of the table, each with a digest of four bytes: all digests fit one datagram
 HASH = 4
+MARK = 2  # bytes that stand for an entry where much is compared at once
 MEMBER, SEAT, HEADING = 0, 1, 2  # kinds that the fleet itself writes; further ones are of its users
 MOST_ORIGIN, MOST_VERSION = 2**64 - 1, 2**62
 
@@ -36,6 +37,7 @@
         self.bounds, self.most, self.known = bounds, most, known
         self.entries: dict[int, dict[int, tuple[int, bytes]]] = {kind: {} for kind in bounds}
         self.hashes = [0] * PARTS
+        self.marked: dict[Key, bytes] = {}  # what stands for each entry in a sketch
         self.parts: list[set[Key]] = [set() for _ in range(PARTS)]
         # What is still told along, and how often it was. News of what is known go before what is new: an objection
         # must not wait behind a crowd that joins, of which comparing tables tells as well.
@@ -84,6 +86,7 @@
     def forget(self, kind: int, origin: int) -> None:
         """Not a change that is told: others forget by themselves."""
         self._fold(kind, origin, self.entries[kind].pop(origin, None))
+        self.marked.pop((kind, origin), None)
         self.parts[_part_of(kind, origin)].discard((kind, origin))
         self.news.pop((kind, origin), None)
         self.new.pop((kind, origin), None)
@@ -101,6 +104,7 @@
         if entry is not None:
             part, word = _hash(kind, origin, entry[0])
             self.hashes[part] ^= word
+            self.marked[kind, origin] = word.to_bytes(HASH, "big")[:MARK]
             self.parts[part].add((kind, origin))
 
     # --- what is told along ----------------------------------------------------------------------
@@ -146,6 +150,15 @@
         """Kind, origin and version of each entry of a part."""
         return [[*key, self.entries[key[0]][key[1]][0]] for key in self.keys(part)]
 
+    def marks(self, part: int) -> bytes:
+        """Two bytes of the hash of each entry of a part: what another need not send. Of a hundred entries one in some
+        hundreds is taken for another; comparing versions finds it once little differs."""
+        return b"".join(self.marked[key] for key in self.keys(part))
+
+    def unmarked(self, part: int, marks: set[bytes]) -> list[Key]:
+        """Entries of a part that are not among the marked."""
+        return [key for key in self.keys(part) if self.marked[key] not in marks]
+
     def missing(self, part: int, theirs: Any, whole: bool) -> tuple[list[Key], list[list[int]]]:
         """What another lacks of a part, by the versions that it named, and what this side lacks, as it named it.
         ``whole``: it named all that it has."""
