--- a/rushweir/lab/scale/events.py
+++ b/rushweir/lab/scale/events.py
@@ -24,7 +24,6 @@
 DRIFT, LOSS = 0.0005, 0.01
 CALM_MS, LOOK_MS, LONGEST_MS = 10_000.0, 100.0, 180_000.0
 RACK, RACK_AWAY_MS, ZONE_AWAY_MS = 40, 2_000.0, 10_000.0
-ROUNDED_MS = 1e-7  # by which the world's clock may fall short of a wake's time
 SPLIT_MS, SPLIT_KEEP_MS = 120_000.0, 20_000.0  # an hour, and the ten minutes after which a number may be another's
 PACE_MS, FAST_MS, ROLLED, FAST_ROLLED, AWAY_MS = 180_000.0, 1_800.0, 2, 20, 500.0  # 480 a day: one in 180 s
 
@@ -44,13 +43,6 @@
         self.by[source] += len(data)
         super()._send(source, to, data)
 
-    def _wake_by(self, p: Process) -> None:
-        """A wake is told as "so long from now", and now + (then - now) may fall short of then by the last bit, where
-        now is less than half of then: such a one is no older wake, and who is sent nothing was never woken again. It
-        is set 1e-6 ms behind what is due, far more than that bit."""
-        if p.wake_at <= self.now + ROUNDED_MS:
-            self._wake(p, p.wake)
-
 
 class Fleet(Sharers):
     """Members with budgets. That parts keep within the whole at each instant is for days to see (lab/sim/days.py)."""
--- a/rushweir/lab/sim/world.py
+++ b/rushweir/lab/sim/world.py
@@ -150,9 +150,10 @@
             look(p)
         at = p.core.next_at()
         if at is not None:
-            when = max(self.now, p.true(at)) + 1e-6  # never a moment too early by its own clock
+            after = max(self.now, p.true(at)) + 1e-6 - self.now  # never a moment too early by its own clock
+            when = self.now + after  # as ``later`` has it: now + (then - now) may fall short of then by the last bit
             if p.wake_at != when or not p.wake:
-                p.wake, p.wake_at = self.later(when - self.now, self._wake_by, p), when
+                p.wake, p.wake_at = self.later(after, self._wake_by, p), when
 
     def _wake_by(self, p: Process) -> None:
         # The event's own serial is unknown to it: what counts is that it is the latest one that was set.
--- a/tests/lab/scale/test_events.py
+++ b/tests/lab/scale/test_events.py
@@ -8,7 +8,7 @@
 import pytest
 
 from rushweir.lab.scale import events
-from rushweir.lab.sim.world import World
+from rushweir.lab.sim.world import Process, World
 
 
 def figures(event: str, size: int) -> dict[str, float]:
@@ -64,10 +64,18 @@
         self.at = now + self.rng.uniform(1.0, 100.0)
 
 
-@pytest.mark.parametrize(("kind", "all_of_them"), [(events.Counting, True), (World, False)])
+class Rounded(World):
+    """Planted: a wake counts from the time that was meant, of which its event's may fall short by the last bit."""
+
+    def _turned(self, p: Process) -> None:
+        super()._turned(p)
+        p.wake_at = max(self.now, p.true(p.core.next_at())) + 1e-6
+
+
+@pytest.mark.parametrize(("kind", "all_of_them"), [(World, True), (events.Counting, True), (Rounded, False)])
 def test_a_process_that_nobody_sends_to_is_woken_for_as_long_as_it_runs(kind, all_of_them):
-    """In the world without the mend a wake is lost now and then, and with it the process. (Only early in a day: from
-    half of a time on, what is left until then is exact.)"""
+    """With the plant a wake is lost now and then, and with it the process. (Only early in a day: from half of a time
+    on, what is left until then is exact.)"""
     world, count = kind(1), 2_000
     for k in range(count):
         world.later(world.rng.uniform(0.0, 200.0), world.start, k, lambda now, kept: Sleeper(now), 1.0003)
