Three checks of the joined tree: two budgets, a half-made file, what ended a planted course

The word leaves one unit now, and the keeper is asked each time as the test needs. - test_control_fold_processes: after its restart the killed process found its log still full and had the next half-made file at once.

--- a/tests/budgets/test_two.py
+++ b/tests/budgets/test_two.py
@@ -53,8 +53,9 @@
         return None
 
     def word(self, kind: int, number: int) -> list:
+        """The keeper's: so little is left that none is let in on the word alone, and enough to ask for one more."""
         customer = self.policy.quota.customers.copy().popitem()[0]
-        text = b85encode(ENTRY.pack(kind, 0, customer, 40.0, 255, number)).decode()
+        text = b85encode(ENTRY.pack(kind, 0, customer, 1.0, 255, number)).decode()
         return self.do(i.PeerMessage(1 - self.me, text))
 
     def refused(self, number: int) -> None:
--- a/tests/edge/test_owed.py
+++ b/tests/edge/test_owed.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from dataclasses import replace
 
 import pytest
@@ -142,5 +143,11 @@
 @pytest.mark.parametrize("plant", PLANTED, ids=lambda p: p.__name__)
 def test_a_planted_fault_is_found(monkeypatch, plant):
     plant(monkeypatch)
-    with pytest.raises(AssertionError, match=PLANTED[plant]):
+    with pytest.raises(AssertionError) as found:
         run_state_machine_as_test(Orders, settings=HUNT)
+    # A course that ends in the midst of a step leaves things held, and says that last: what ended it stands behind.
+    chain, e = [], found.value
+    while e is not None:
+        chain.append(str(e))
+        e = e.__context__
+    assert any(re.search(PLANTED[plant], text) for text in chain), chain
--- a/tests/rollout/test_control_fold_processes.py
+++ b/tests/rollout/test_control_fold_processes.py
@@ -38,8 +38,11 @@
         confirmed |= {task.result() for task in done if task.result()}
     await s.kill(k)
     confirmed |= {number for number in await asyncio.gather(*asked) if number}
+    half = s.folder / f"state-{k}" / HALF_MADE
+    half.write_bytes(b"left of the one that was killed" + (half.read_bytes() if half.exists() else b""))
     await s.start(k)
-    assert not (s.folder / f"state-{k}" / HALF_MADE).exists()
+    # It is gone; where the log is still full there may be the next one's already.
+    assert not half.exists() or not half.read_bytes().startswith(b"left")
     number = None
     while number is None:  # who leads may have been the one
         number = await change(s, other)
