The scene of a home that was away: the one between dies with its ledger

Checked by a course of times: the home between hands its ledger over in time now (since members are sent what they lack), so that the planted one learnt what was lent.

--- a/tests/budgets/test_rules.py
+++ b/tests/budgets/test_rules.py
@@ -31,12 +31,14 @@
         self.fleet.share(NAME, WHOLE)
         for k in range(COUNT):
             self.fleet.start(k)
+        self.asking = set(range(2 * COUNT))
         for k in range(2 * COUNT):
             self._asks(k)
         self.world.run(12_000.0)
 
     def _asks(self, k: int) -> None:
-        self.fleet.want(k, NAME)
+        if k in self.asking:
+            self.fleet.want(k, NAME)
         self.world.later(self.world.rng.expovariate(20.0) * 1000, self._asks, k)
 
     def home(self, p) -> int:
@@ -135,18 +137,26 @@
 
 
 def alone_and_back(seed: int, kind: str = "") -> None:
-    """The home is cut off until another lends, and is the home again before it forgot what it lent itself: the term
-    is longer than it takes to miss a member. Raises Broken."""
+    """The home is cut off until another lends; that one is killed, so that its ledger comes to nobody, and the first is
+    the home again while parts of the other are still held: the term is longer than it takes to miss a member. Two of
+    the others ask meanwhile, and the rest from then on. Raises Broken."""
     s = Scene(seed, kind, 5_000.0)
     chair = next(p for p in s.fleet.up() if p.core.vote is not None and p.core.chair.holds())
     old = s.home(chair)
     s.cut({s.place(old)})
     while s.home(chair) == old or not any(p.core.budgets.keeping for p in s.fleet.up() if p.core.fleet.me != old):
         s.world.run(s.world.now + 100.0)
-    s.world.run(s.world.now + 700.0)  # until others have parts of it
+    between = s.home(chair)
+    rest = [k for k in range(COUNT) if s.world.at[s.fleet.place(k)].core.fleet.me not in (old, between)]
+    s.asking = set(rest[:2])
+    s.world.run(s.world.now + 700.0)  # until they have parts of it
+    s.world.kill(s.fleet.place(s.place(between)))
     s.world.net.cut.clear()
-    while s.home(chair) != old:
+    s.asking = set(range(COUNT)) - set(rest[:2])
+    watch, until = s.world.at[s.fleet.place(rest[-1])], s.world.now + 30_000.0
+    while s.home(watch) != old and s.world.now < until:
         s.world.run(s.world.now + 100.0)
+    assert s.home(watch) == old
     s.world.run(s.world.now + 6_000.0)
 
 
