--- a/tests/budgets/test_rules.py
+++ b/tests/budgets/test_rules.py
@@ -137,9 +137,9 @@
 
 
 def alone_and_back(seed: int, kind: str = "") -> None:
-    """The home is cut off until another lends; that one is killed, so that its ledger comes to nobody, and the first is
-    the home again while parts of the other are still held: the term is longer than it takes to miss a member. Two of
-    the others ask meanwhile, and the rest from then on. Raises Broken."""
+    """The home is cut off until another lends; that one is killed, so that its ledger comes to nobody, and the first
+    is the home again while parts of the other are still held: the term is longer than it takes to miss a member. Two
+    of the others ask meanwhile, and the rest from then on. Raises Broken."""
     s = Scene(seed, kind, 5_000.0)
     chair = next(p for p in s.fleet.up() if p.core.vote is not None and p.core.chair.holds())
     old = s.home(chair)
