A change that needs a restart names take-over only where that is possible

For budgets, which come with a step, the restart does not help either: the refused step is not in what was kept, so the ingress starts from the older one and refuses it again.

Cause: daemon/decisions.py had one sentence for all.

Change: take-over is named only where neither settings have a rollout block; what is shared says that the kept settings have to go.

Tests: test_applying.py and test_rollout_settings.py asserted the wrong sentence; they assert the right one, whole, as before. The first also had an ingress without a rollout block take steps, which there is none of; it has one now. Two new: the sentence by where the settings come from, and that an ingress which starts from what it kept refuses other budgets, and one that starts without takes them. Without the change all four fail.

--- a/rushweir/daemon/decisions.py
+++ b/rushweir/daemon/decisions.py
@@ -7,6 +7,7 @@
 
 from rushweir import interface as i
 from rushweir.config import Config
+from rushweir.config.objects import SINGLE
 from rushweir.config.text import Problem, Spot
 
 # What a running process is bound to: its sockets, its place in the fleet, and who it counts with.
@@ -21,7 +22,7 @@
     """The changes that a reload can't make, each with its place in the new settings."""
     start = Spot(str(new.files[0]) if new.files else "", 1, 1)
     found = [
-        Problem(new.spots.get((name,), start), f"{name}: a change needs a restart, or serve --take-over")
+        Problem(new.spots.get((name,), start), f"{name}: a change needs a restart{_instead(name, old, new)}")
         for name in BOUND
         if getattr(old.file, name) != getattr(new.file, name)
     ]
@@ -30,6 +31,15 @@
     return found
 
 
+def _instead(name: str, old: Config, new: Config) -> str:
+    """What else may be done, or has to be, where one of the two has its shared settings from control processes."""
+    if old.file.rollout is None and new.file.rollout is None:
+        return ", or serve --take-over"
+    # A take-over is refused there. A restart begins with what was kept, which a refused change is not in: it would
+    # be refused again, as often as it comes.
+    return " without its kept settings" if name in SINGLE else ""
+
+
 def leaving(settings: i.Settings) -> i.Settings:
     """Settings of an ingress whose successor works beside it already: its ceilings fill no more. What is in them
     was its own; what fills from now on is the successor's, so that both together give out no more than one."""
