Who starts with nothing holds down whom others may have by other doors

Seen: three ingresses, a partner with a ceiling whose door goes from 0 to 1 in version 2. Ingress 1 starts with nothing, gets the whole of version 2 and spends the whole there; 0, still on 1, spends it too: two wholes. The same where the partner went in 2, was not in what the newcomer got, and comes back with another door in 3. Real policies with their mail spend beyond the ceiling.

Cause: what is in between (rollout/ceilings.py) is known of steps only; the first version of all was acted on alone (daemon/rollouts.py, _first).

Change: objects come with the version that changed them last, and what all act on (least) is told ahead of them, so nothing is new in the messages. Who changed at or before least has the doors that it had there, and is served at once; of who changed later the doors meanwhile are not known: NOBODY, until all act on the version. So it is for who comes anew until then (ANYBODY, a customer with the empty name, which older programs read as any other). It is on disk ahead of the first book. A first version older than least is refused: its steps come. A start may hold more than MOST_BETWEEN down, for it can't be refused; later ones add nothing beyond it. Where many are held down, steps and the word that frees them are worked out beside the loop.

--- a/rushweir/config/live.py
+++ b/rushweir/config/live.py
@@ -33,7 +33,7 @@
 from rushweir.ingress.asks import Partner
 from rushweir.ingress.core import Core
 from rushweir.ingress.websocket import Setup
-from rushweir.rollout.ceilings import NOBODY, Between, Doors, SlotError, acting
+from rushweir.rollout.ceilings import ANYBODY, NOBODY, Between, Doors, SlotError, acting
 from rushweir.rollout.steps import Change, Key
 
 FEW = 128  # changed objects of a kind that are put in place one by one, within a turn
@@ -91,7 +91,6 @@
     groups = reading.groups
     groups["partners"].held.everywhere = reading.file.ingress[1]
     config = Config(reading.file.model_copy(update=groups), path.parent, None, reading.spots, (path,), seat)
-    config = replace(config, between=between or Between())
     few = [Change(key, data) for key, data in kept if path_of(key)[0] not in MANY]
     many = (Change(key, data) for key, data in kept if path_of(key)[0] in MANY)
     # In pieces: what is read of an object before it is in its slot is larger than the slot.
@@ -99,6 +98,8 @@
         config, deltas = told(config, piece, version)
         for g in MANY:
             groups[g].adopt(deltas[g])
+    if between is not None and config.file.ingress[1] > 1:  # once for all, not with each piece
+        config = _acting(replace(config, between=between), _unmoved(groups["partners"]))
     problems: list[Problem] = []
     peers = config.file.peers
     peer_key = checks.key(peers, config.base, reading.spots, problems) if peers else None
@@ -161,6 +162,8 @@
     had = {name: held.doors[slot] for name, slot in touched if held.plans[slot] in bound}
     had = {name: doors for name, doors in had.items() if _other(doors, mine.get(name), count)}
     ways = _passed(passed, mine, count) if any(p.ceiling_rate for p in file.plans.values()) else {}
+    if ANYBODY in known.between.customers:
+        ways |= {name: (*ways.get(name, ()), NOBODY) for name in mine.put if name not in slots}
     try:
         between = known.between.changed(version, had, ways) if count > 1 else known.between
     except SlotError as bad:
@@ -168,6 +171,12 @@
     return _acting(replace(known, file=file, spots=spots, between=between), mine), deltas
 
 
+def newcomer(passed: Passed, version: int, least: int) -> Between:
+    """What is in between for an ingress that starts with nothing, at a version. ``passed``: of all that changed after
+    ``least``, which all others act on, or on a later one."""
+    return Between.of_newcomer(version, least, (name for kind, name in passed if kind == "partner"))
+
+
 def _passed(passed: Passed, mine: Delta, count: int) -> dict[str, tuple[Doors, ...]]:
     """The doors that partners had in skipped versions, of those that had others than they have."""
     out: dict[str, tuple[Doors, ...]] = {}
--- a/rushweir/daemon/reloading.py
+++ b/rushweir/daemon/reloading.py
@@ -70,7 +70,7 @@
         s = self.service
         async with self.lock:
             # A large one is prepared beside the loop; one partner takes less than a thread's start.
-            many = len(changes) > live.FEW
+            many = max(len(changes), len(s.config.between.customers)) > live.FEW
             given = changes, version, passed
             prepared = await beside(self._told, *given) if many else self._told(*given)
             live.apply(s.core, prepared, s.clock())
@@ -84,13 +84,21 @@
         if s.config.file.fleet is not None:
             await asyncio.sleep(OVER_TERMS * s.config.file.budgets.term / 1000)
         async with self.lock:
-            new, deltas = live.settled(s.config, version)
-            if new.between != s.config.between:
-                prepared = live.prepare(s.config, new, deltas, s._setup, s.core.setup, rows=False)
+            # All partners may be held down, and free at once, where the whole fleet starts with nothing.
+            many = len(s.config.between.customers) > live.FEW
+            new, prepared = await beside(self._settled, version) if many else self._settled(version)
+            if prepared is not None:
                 live.apply(s.core, prepared, s.clock())
             s.taken(new, None)
             s.shell.carry_out()
 
+    def _settled(self, version: int) -> tuple[Config, live.Prepared | None]:
+        s = self.service
+        new, deltas = live.settled(s.config, version)
+        if new.between == s.config.between:
+            return new, None
+        return new, live.prepare(s.config, new, deltas, s._setup, s.core.setup, rows=False)
+
     def _told(self, changes: Sequence[Change], version: int, passed: Passed) -> live.Prepared:
         s = self.service
         new, deltas = live.told(s.config, changes, version, passed)
--- a/rushweir/daemon/rollouts.py
+++ b/rushweir/daemon/rollouts.py
@@ -1,7 +1,8 @@
 """An ingress's settings from the control processes: a thin shell on asyncio around ``Watching``.
 
     start, with something kept      its objects, checked, before the ingress serves; no control process is needed
-    start, with nothing             the first version that comes and fits
+    start, with nothing             the first version that comes and fits; who changed after what all act on is held
+                                    down until all act on it
     a change                        applied in a turn of the loop (reloading.py), then appended to the log
     a large step                    read, weighed and prepared in threads, applied in a turn, noted in the next
     all act on a version            told to whoever holds ceilings down meanwhile (config/live.py, settled)
@@ -28,7 +29,7 @@
 from rushweir.daemon.lock import StateLock
 from rushweir.daemon.rollout_files import Files, Objects
 from rushweir.link.websocket import Messages, client_protocol
-from rushweir.rollout.ceilings import Between
+from rushweir.rollout.ceilings import ANYBODY, Between
 from rushweir.rollout.kept import Kept, Rewrite
 from rushweir.rollout.steps import Change
 from rushweir.rollout.watch_mail import MOST_MESSAGE
@@ -174,12 +175,18 @@
         self.carry_out()
         return await self.first
 
-    async def _first(self, changes: tuple[Change, ...], version: int, _: Any) -> None:
+    async def _first(self, changes: tuple[Change, ...], version: int, passed: Any) -> None:
         rows = [(c.key, c.data) for c in changes if c.data is not None]
         if self.first.done():  # nobody serves yet; what came first is what it starts with
             raise Refused([(("", ""), "", "the ingress is starting")])
+        least = self.core.least
+        if version < least:  # its steps come; until then what it has may be nobody's any more
+            raise Refused([(("", ""), "", f"all others act on {least} or later")])
+        between = live.newcomer(passed, version, least)
         try:
-            self.first.set_result(live.assemble(self.path, rows, version))
+            self.first.set_result(live.assemble(self.path, rows, version, between))
+            self.between = between
+            self.writes.append(between)  # ahead of the change that it is of
         except ConfigError as problem:
             self.first.set_exception(problem)
             raise Refused([(("", ""), "", str(problem)[:300])]) from None
@@ -191,7 +198,8 @@
         ops.methods["status"] = lambda: ops.status() | {"rollout": self.status()}
 
     def status(self) -> dict[str, Any]:
-        held = 0 if self.service is None else len(self.service.config.between.customers)
+        between = Between() if self.service is None else self.service.config.between
+        held = len(between.customers.keys() - {ANYBODY})
         told = {"received_bytes": self.received_bytes, "written_bytes": self.files.bytes, "held_down": held}
         return self.core.status() | told | {"counts": dict(self.core.counts)}
 
--- a/rushweir/rollout/ceilings.py
+++ b/rushweir/rollout/ceilings.py
@@ -26,7 +26,9 @@
 own their part of this way's whole at most. Who goes from 5 to 9 at once has to know the doors of 6 to 8 for it:
 another may act on 7 alone as soon as it hears that all act on 7 or later. They are known of steps that came and were
 overtaken before they were applied (watching_ahead.py); of what came as a difference they are not, and NOBODY stands
-for them.
+for them. Who starts with nothing knows no version but its first: of a customer that changed last at or before the one
+that all act on it knows the doors all the same; of any other, and of who may have come and gone meanwhile (ANYBODY),
+it does not.
 """
 
 from __future__ import annotations
@@ -46,6 +48,7 @@
 CLOSED = "\x00closed"  # no name that settings can have
 Doors = tuple[int, int]  # the first, and how many from it on; (0, 0): all
 NOBODY: Doors = (0, -1)  # in place of doors that are not known: whoever has it among its ways owns nothing
+ANYBODY = ""  # in place of customers that are not known: whoever comes while it is in between counts as NOBODY's too
 
 
 def closed(price: float = 1.0) -> i.Plan:
@@ -148,7 +151,7 @@
         for name, more in (*((n, (had,)) for n, had in doors.items()), *(passed or {}).items()):
             ways = known[name][1] if name in known else ()
             known[name] = version, tuple(dict.fromkeys((*ways, *more)))
-        if len(known) > MOST_BETWEEN:
+        if len(known) > max(MOST_BETWEEN, len(self.customers)):  # a start may have brought more
             raise SlotError(f"more than {MOST_BETWEEN} partners whose doors change, or who go, before all know it")
         return replace(self, customers=known)
 
@@ -158,6 +161,15 @@
             return self
         return Between({n: x for n, x in self.customers.items() if x[0] > version}, version)
 
+    @classmethod
+    def of_newcomer(cls, version: int, everywhere: int, later: Iterable[str]) -> Between:
+        """Of who starts with nothing at a version. ``later``: customers of which the version has something that
+        changed after ``everywhere``; as many as it has, since a start can't be refused for what it finds."""
+        if version <= everywhere:
+            return cls({}, everywhere)
+        entry = version, (NOBODY,)
+        return cls(dict.fromkeys((ANYBODY, *later), entry), everywhere)
+
     def dump(self) -> list:
         """To be kept with the settings: a process that starts anew knows no older ones."""
         return [self.everywhere, [[n, v, [list(w) for w in ways]] for n, (v, ways) in self.customers.items()]]
--- a/rushweir/rollout/watching_ahead.py
+++ b/rushweir/rollout/watching_ahead.py
@@ -16,6 +16,7 @@
     overtaken by a later row                 what it was
     of a difference, two versions or more    anything
     a layer that is refused                  what it was, and it had passed, if overtaken meanwhile
+    of the first version of all              anything, unless it is as old as a version that all act on
 """
 
 from __future__ import annotations
@@ -84,7 +85,10 @@
     """A layer while it is applied. The book under it stays as it is meanwhile, so that all of this may be asked
     beside the loop."""
 
-    def __init__(self, ahead: Ahead, rows: Mapping[str, bytes | None]) -> None:
+    def __init__(self, ahead: Ahead, rows: Mapping[str, bytes | None], least: int = -1) -> None:
+        """``least``: a version that all act on, or on a later one; below 0: what passed before the first version of
+        all is not asked."""
+        self.after = -1 if ahead.book.version else least
         self.book, self.rows, self.version = ahead.book, rows, ahead.version
         self.sums, self.tally = list(ahead.sums), (ahead.count, ahead.size)
         self._passed = ahead.passed
@@ -103,8 +107,11 @@
     @property
     def passed(self) -> dict[Key, tuple[bytes, ...] | None]:
         """Objects that were something else in versions between; None: not known what."""
-        known = self._passed.items()
-        return {key_of(t): None if rows is None else tuple(r[8:] for r in rows) for t, rows in known}
+        known = dict(self._passed)
+        if self.after >= 0:
+            safe = (self.after + 1).to_bytes(8, "big")  # versions of eight bytes sort as their bytes do
+            known.update((t, None) for t, held in self.rows.items() if held is not None and held >= safe)
+        return {key_of(t): None if rows is None else tuple(r[8:] for r in rows) for t, rows in known.items()}
 
     def known(self) -> Passed:
         """The same, as a layer has it."""
@@ -201,10 +208,10 @@
 
     # --- the one who applies ---------------------------------------------------------------------
 
-    def freeze(self) -> Frozen:
-        """What is to be applied now."""
+    def freeze(self, least: int = -1) -> Frozen:
+        """What is to be applied now. ``least``: as ``Frozen`` has it."""
         self.applying, self.rows = self.rows, {}
-        self.frozen, self.passed = Frozen(self, self.applying), {}
+        self.frozen, self.passed = Frozen(self, self.applying, least), {}
         return self.frozen
 
     def applied(self) -> list[Row]:
--- a/tests/rollout/test_rollout_processes.py
+++ b/tests/rollout/test_rollout_processes.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import shutil
+import signal
 from pathlib import Path
 
 from tests.rollout.rollout_stage import Site, partner, play
@@ -119,6 +121,9 @@
         first = await s.change(("plan", "capped", plan), ("partner", "p0", capped))
         await s.in_force(first, "door-a", "door-b")
         await s.seen(0, lambda rows: {r["acts"] for r in rows.values()} == {first} and len(rows) == 2)
+        # What was held down as both started with nothing is free, so that it is the move that is counted.
+        await s.line("door-a", "settings_everywhere", version=first)
+        assert (await s.status("door-a"))["rollout"]["held_down"] == 0
         await s.kill("door-b")
         moved = await s.change(("partner", "p0", capped + b"through 1 1\n"))
         await s.in_force(moved, "door-a")
@@ -137,6 +142,33 @@
     play(tmp_path, body)
 
 
+def test_who_starts_with_nothing_holds_down_only_who_changed_after_what_all_act_on(tmp_path: Path) -> None:
+    async def body(s: Site) -> None:
+        await s.up("door-a", "door-b", numbers={"door-a": (0, 2), "door-b": (1, 2)})
+        await s.start("door-a", "door-b")
+        first = await s.first()
+        for name in ("door-a", "door-b"):
+            await s.line(name, "settings_everywhere", version=first)
+        await s.kill("door-b")
+        s.doors["door-a"].send_signal(signal.SIGSTOP)  # it acts on the first, and is not told of the move
+        moved = await s.change(("partner", "p0", partner(0, "through 1 1\n")))
+        shutil.rmtree(s.folder / "run-door-b")
+        await s.start("door-b")
+        await s.serving("door-b")
+        told = (await s.status("door-b"))["rollout"]
+        assert (told["version"], told["least"], told["held_down"]) == (moved, first, 1)
+        await s.seen(0, lambda rows: rows["door-b"]["acts"] == moved)  # on its disk
+        await s.kill("door-b")
+        await s.start("door-b")  # what it did not know at its start it does not know now
+        await s.serving("door-b")
+        assert (await s.status("door-b"))["rollout"]["held_down"] == 1
+        s.doors["door-a"].send_signal(signal.SIGCONT)
+        await s.line("door-b", "settings_everywhere", version=moved)
+        assert (await s.status("door-b"))["rollout"]["held_down"] == 0
+
+    play(tmp_path, body)
+
+
 def test_a_change_costs_an_ingress_the_same_bytes_whatever_the_settings_size(tmp_path: Path) -> None:
     async def body(s: Site) -> None:
         await s.up("door-a")
