Who came and went unnamed in a difference counts as anybody's

A partner that came in a skipped version and went again is named nowhere; if it comes back while others still act on that version, an ingress that skipped it acts alone.

Change: such a difference over versions puts ANYBODY among what passed, so that who comes anew is held down until all act on its version.

Measured: a test by hand (marks and tombstones side by side); without the change it has no ANYBODY and fails.

--- a/rushweir/rollout/watching_ahead.py
+++ b/rushweir/rollout/watching_ahead.py
@@ -16,6 +16,8 @@
     overtaken by a later row                 what it was
     of a difference, two versions or more    anything
     a layer that is refused                  what it was, and it had passed, if overtaken meanwhile
+    of no row; a difference that tells by names
+    of what is left who is gone              any partner that is not known
     of the first version of all              anything, unless it is as old as a version that all act on
 """
 
@@ -42,6 +44,7 @@
     weight,
     whole_digest,
 )  # fmt: skip
+from rushweir.rollout.ceilings import ANYBODY
 from rushweir.rollout.steps import Change, Key, Step
 
 MOST_PASSED, MOST_WAYS = 4_096, 8  # objects of which it is kept what they were in between, and how often of each
@@ -55,6 +58,7 @@
         self.ahead, self.rows, self.beside = ahead, dict[str, bytes | None](), ahead.taken
         self.sums: dict[int, int] = {}
         self.count = self.size = 0  # objects and bytes more
+        self.by_names = False  # what is gone is told by the names of all that is left
 
     def add_all(self, rows: Iterable[Row]) -> None:
         """By parts: a look into the book unpacks one."""
@@ -75,6 +79,7 @@
 
     def leave(self, part: int, marks: bytes) -> None:
         """What is not named in a part is gone from it."""
+        self.by_names = True
         left = {marks[at : at + MARK] for at in range(0, len(marks), MARK)}
         for text in self.ahead.names(part):
             if mark(text) not in left:
@@ -196,6 +201,8 @@
                 self._pass(text, None)
             elif (was := self.rows.get(text)) is not None:
                 self._pass(text, (was,))
+        if skips and delta.by_names:  # who came and went between is named nowhere
+            self._pass(packed(("partner", ANYBODY)), None)
         self.rows.update(delta.rows)
         self.version, self.total = version, total
         self.count, self.size, self.taken = self.count + delta.count, self.size + delta.size, self.taken + 1
--- a/tests/rollout/test_ceilings_newcomer.py
+++ b/tests/rollout/test_ceilings_newcomer.py
@@ -16,11 +16,11 @@
 from rushweir.config import live
 from rushweir.daemon.reloading import Reloading
 from rushweir.ingress.core import Core
-from rushweir.rollout.book import Book
-from rushweir.rollout.ceilings import ANYBODY, MOST_BETWEEN, NOBODY, Between
+from rushweir.rollout.book import PARTS, Book
+from rushweir.rollout.ceilings import ANYBODY, CLOSED, MOST_BETWEEN, NOBODY, Between
 from rushweir.rollout.packed import PackedBook
 from rushweir.rollout.steps import Change, Step
-from rushweir.rollout.watching_ahead import Ahead
+from rushweir.rollout.watching_ahead import Ahead, Delta
 from tests.rollout.test_ceilings import BASE, World, over, partner, plan
 from tests.rollout.test_ceilings import COUNT as DOORS
 from tests.rollout.test_ceilings_skipped import COUNT, FIRST, WAYS, Ingress
@@ -229,3 +229,30 @@
 
     asyncio.run(body())
     assert threads == [False, False, True]
+
+
+def test_who_came_and_went_unnamed_counts_as_anybody(tmp_path) -> None:
+    """Beyond the tombstones a difference names what is left, not what went: that may have come meanwhile too."""
+    truth, first = Book(), Step(1, tuple(FIRST))
+    truth.take(first)
+    both = [Coming(0, truth, tmp_path / "own.conf") for _ in range(2)]
+    truth.take(Step(2, (partner("new", "tin", 1, 1),)))
+    truth.take(Step(3, (Change(("partner", "new"), None),)))
+    truth.take(Step(4, (Change(("partner", "b"), None),)))
+    for named, x in zip((False, True), both, strict=True):
+        delta = Delta(x.ahead)
+        if named:
+            for part in range(PARTS):
+                delta.leave(part, truth.marks(part))
+        else:  # as tombstones tell it
+            delta.add_all(truth.since(1) or ())
+        assert x.ahead.take(delta, 4, truth.digest())
+        passed = x.ahead.freeze().passed
+        assert passed[("partner", "b")] is None
+        assert (("partner", ANYBODY) in passed, ("partner", "new") in passed) == (named, not named)
+    x.apply(True)
+    assert x.config.between.customers[ANYBODY] == (4, (NOBODY,))
+    x.take(*live.told(x.config, [partner("new", "tin", 0, 1)], 5))
+    assert x.config.ways["new"].plan == CLOSED
+    x.settled(5)
+    assert not x.config.ways and not x.config.between.customers
