Key files are read and checked in one place, and a long one is refused, not cut

Seen: three readers of one kind of file. All took a longer key by its first 4,096 bytes (those of peers: 1 MiB) and said nothing, so that two files which differ behind that made one key. That of control processes went on with a key that others may read: it was refused all the same, with a second problem about its length.

Change: config/private.py reads what only its owner may read, with the directive's name and place, for key-file in three blocks, watch-key-file and users-file. More than 4,096 bytes of a key (1 MiB of users) are an error there; the end of its line does not count.

--- a/rushweir/config/checks.py
+++ b/rushweir/config/checks.py
@@ -2,14 +2,13 @@
 
 from __future__ import annotations
 
-import os
-import stat
 from collections.abc import Iterable, Mapping
 from pathlib import Path
 
 from rushweir.config import models as m
 from rushweir.config.compact import Delta, PartnerRecord
-from rushweir.config.text import Problem, Spot
+from rushweir.config.private import read_key, read_private
+from rushweir.config.text import ConfigError, Problem, Spot
 from rushweir.console.sessions import read_users
 from rushweir.costs.routes import RouteError, shape
 from rushweir.rollout.ceilings import MOST_PLANS
@@ -123,36 +122,19 @@
 def users(console: m.ConsoleBlock, base: Path, spots: dict, problems: list[Problem]) -> None:
     """The console's users: a file that nobody else may read, each line in its form."""
     spot, path = spots[("console", "users_file")], base / console.users_file
-    data = _secret(path, "users-file", spot, problems)
-    if data is not None:
-        try:
-            if not read_users(data.decode()):
-                problems.append(Problem(spot, f"users-file: {path} names nobody; rushweir console-user adds one"))
-        except ValueError as problem:
-            problems.append(Problem(spot, f"users-file: {path}: {problem}"))
+    try:
+        if not read_users(read_private(path, "users-file", spot).decode()):
+            problems.append(Problem(spot, f"users-file: {path} names nobody; rushweir console-user adds one"))
+    except ConfigError as bad:
+        problems += bad.problems
+    except ValueError as problem:
+        problems.append(Problem(spot, f"users-file: {path}: {problem}"))
 
 
 def key(peers: m.PeersBlock, base: Path, spots: dict, problems: list[Problem]) -> bytes | None:
-    """A secret from its file, which nobody else may read."""
-    spot = spots[("peers", "key_file")]
-    key = _secret(base / peers.key_file, "key-file", spot, problems)
-    if key is not None and len(key.strip()) < 16:
-        problems.append(Problem(spot, "key-file: 16 bytes at least"))
-        return None
-    return key.strip() if key is not None else None
-
-
-MOST_SECRET = 1_048_576
-
-
-def _secret(path: Path, name: str, spot: Spot, problems: list[Problem]) -> bytes | None:
+    """The key that peers share."""
     try:
-        with open(path, "rb") as file:
-            mode = os.fstat(file.fileno()).st_mode
-            if mode & (stat.S_IRWXG | stat.S_IRWXO):
-                problems.append(Problem(spot, f"{name}: {path} can be read by others; chmod 600 is needed"))
-                return None
-            return file.read(MOST_SECRET)
-    except OSError as problem:
-        problems.append(Problem(spot, f"{name}: {problem}"))
+        return read_key(base / peers.key_file, "key-file", spots[("peers", "key_file")])
+    except ConfigError as bad:
+        problems += bad.problems
         return None
--- a/rushweir/config/control.py
+++ b/rushweir/config/control.py
@@ -16,17 +16,15 @@
 
 from __future__ import annotations
 
-import os
-import stat
 from dataclasses import dataclass
 from pathlib import Path
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
+from rushweir.config.private import read_key
 from rushweir.config.text import ConfigError, Directive, Problem, Spot, parse
 from rushweir.config.values import Address, Whole
 
-LEAST_KEY, MOST_KEY = 16, 4_096  # bytes
 MOST_PROCESSES = 7
 
 
@@ -126,18 +124,12 @@
         return self._key("key_file", base / file.key_file)
 
     def _key(self, directive: str, path: Path) -> bytes:
-        spot, name = self.spots[directive,], directive.replace("_", "-")
+        """Nothing where it is none: a problem is told then."""
         try:
-            with open(path, "rb") as opened:
-                if os.fstat(opened.fileno()).st_mode & (stat.S_IRWXG | stat.S_IRWXO):
-                    self._bad(spot, f"{name}: {path} can be read by others; chmod 600 is needed")
-                key = opened.read(MOST_KEY).strip()
-        except OSError as problem:
-            self._bad(spot, f"{name}: {problem}")
+            return read_key(path, directive.replace("_", "-"), self.spots[directive,])
+        except ConfigError as bad:
+            self.problems += bad.problems
             return b""
-        if len(key) < LEAST_KEY:
-            self._bad(spot, f"{name}: {LEAST_KEY} bytes at least")
-        return key
 
     def _problem(self, e: dict) -> Problem:
         path = tuple(str(x) for x in e["loc"] if x != "[key]")
--- a/rushweir/config/rollout.py
+++ b/rushweir/config/rollout.py
@@ -14,14 +14,13 @@
 
 from __future__ import annotations
 
-import os
 import re
-import stat
 from pathlib import Path
 from typing import TYPE_CHECKING, Annotated
 
 from pydantic import BaseModel, ConfigDict, Field
 
+from rushweir.config.private import read_key
 from rushweir.config.text import ConfigError, Problem, Spot
 from rushweir.config.values import Address
 
@@ -29,7 +28,6 @@
     from rushweir.config.load import Config
 
 MOST_CONTROLS = 7
-LEAST_KEY, MOST_KEY = 16, 4_096  # bytes
 STANDS = re.compile(r"(?m)^[ \t]*rollout[ \t]*\{")
 
 
@@ -44,20 +42,6 @@
     name: Annotated[str, Field(max_length=128)] = ""
 
 
-def read_key(path: Path, spot: Spot) -> bytes:
-    """Raises ConfigError."""
-    try:
-        with open(path, "rb") as file:
-            if os.fstat(file.fileno()).st_mode & (stat.S_IRWXG | stat.S_IRWXO):
-                raise ConfigError([Problem(spot, f"key-file: {path} can be read by others; chmod 600 is needed")])
-            key = file.read(MOST_KEY).strip()
-    except OSError as problem:
-        raise ConfigError([Problem(spot, f"key-file: {problem}")]) from None
-    if len(key) < LEAST_KEY:
-        raise ConfigError([Problem(spot, f"key-file: {LEAST_KEY} bytes at least")])
-    return key
-
-
 def own(path: Path) -> Config | None:
     """The settings of a machine alone, where the shared ones come from control processes; None: they are in the file.
     Raises ConfigError."""
@@ -76,5 +60,5 @@
         return None
     if config.state is None:
         raise ConfigError([Problem(spot, "rollout: needs state, a folder to keep the settings in")])
-    read_key(config.base / block.key_file, config.spots.get(("rollout", "key_file"), spot))
+    read_key(config.base / block.key_file, "key-file", config.spots.get(("rollout", "key_file"), spot))
     return config
--- a/rushweir/daemon/rollouts.py
+++ b/rushweir/daemon/rollouts.py
@@ -23,7 +23,7 @@
 
 from rushweir.config import Config, ConfigError, live
 from rushweir.config.objects import Refused
-from rushweir.config.rollout import read_key
+from rushweir.config.private import read_key
 from rushweir.config.text import Spot
 from rushweir.daemon.beside import beside
 from rushweir.daemon.lock import StateLock
@@ -129,7 +129,8 @@
         block, state = config.file.rollout, config.state
         assert block is not None and state is not None
         self.path, self.clock, self.log = path, clock, log
-        key = read_key(config.base / block.key_file, config.spots.get(("rollout", "key_file"), Spot(str(path), 1, 1)))
+        spot = config.spots.get(("rollout", "key_file"), Spot(str(path), 1, 1))
+        key = read_key(config.base / block.key_file, "key-file", spot)
         self.lock = StateLock(state)
         self.files = Files(state)
         kept, wrong = self.files.load()
