A refusal stands at control processes as an older version comes to the ingress's disk

An ingress with a slow disk takes a version, refuses the next and says so; then the first is on its disk, it says that it acts on it, and the refusal is gone from change status until it watches anew.

Cause: sending.py, _acts: a word without a reason kept the old one only if the version acted on was the same.

Change: what was refused stands as long as the version acted on is older than the one refused.

Measured: the course by hand in test_watching.py, red before and green now. The stage got a disk that does not answer.

--- a/rushweir/rollout/sending.py
+++ b/rushweir/rollout/sending.py
@@ -223,8 +223,9 @@
 
     def _acts(self, s: Session, version: int, why: str, at: int = 0) -> None:
         old = self.standing.known.get(s.who)
-        if not why and old is not None and old.acts == version:
-            why, at = old.why, old.at  # a sign of life; what it refused it still refuses
+        if not why and old is not None and (old.acts == version or old.at > version):
+            # A sign of life, or an older version came to its disk: what it refused it still refuses.
+            why, at = old.why, old.at
         if not self.standing.heard(self.now, s.who, version, why, at):
             raise mail.MailError("too many ingresses are known")
 
--- a/tests/rollout/conftest.py
+++ b/tests/rollout/conftest.py
@@ -28,6 +28,7 @@
         self.wire: dict[int, tuple[str, int]] = {}
         self.got = 0  # bytes
         self.hold = False  # orders Apply are not answered
+        self.slow: list[Keep] | None = None  # orders Keep that are not answered yet; None: all are at once
 
     def carry_out(self) -> None:
         while self.core.orders:
@@ -39,6 +40,8 @@
                 self.scene.cut(self, order.conn, tell=False)
             elif isinstance(order, Send):
                 self.scene.up(self, order)
+            elif isinstance(order, Keep) and self.slow is not None:
+                self.slow.append(order)
             elif isinstance(order, Keep):
                 self.core.kept(now, order.version)
             elif isinstance(order, Note):
--- a/tests/rollout/test_watching.py
+++ b/tests/rollout/test_watching.py
@@ -175,6 +175,25 @@
     assert i.core.counts["refused"] == 1
 
 
+def test_a_refusal_is_not_forgotten_as_the_disk_gets_what_was_before_it(scene: Scene) -> None:
+    c, i = scene.control("c"), scene.ingress("i")
+    i.slow, i.refuses[("partner", "b")] = [], b"bad"
+    scene.commit(("a", b"1"))
+    scene.run(2_500)
+    scene.commit(("b", b"bad"))
+    scene.run(2_500)
+    assert (c.rows()[0]["acts"], c.rows()[0]["refused"]) == (0, 2)  # it says what it acts on once that is kept
+    (keep,) = i.slow
+    i.core.kept(scene.now, keep.version)
+    scene.run(10_000)
+    row = c.rows()[0]
+    assert (row["acts"], row["refused"], row["why"]) == (1, 2, "partner b: rate: too large here")
+    i.slow = None
+    scene.commit(("b", b"good"))
+    scene.run(5_000)
+    assert (c.rows()[0]["acts"], c.rows()[0]["refused"], c.rows()[0]["why"]) == (3, 0, "")
+
+
 def test_a_refusal_is_told_to_the_next_control_process_too(scene: Scene) -> None:
     scene.control("c"), scene.control("d")
     i = scene.ingress("i", ("c", "d"))
