A newcomer waits for each partner's own change, and four terms where ceilings are lent

Seen: where ceilings are lent others count a version as settled four terms after they heard that all act on it, since what older doors were lent ends by then; a newcomer took the same word for settled at once. And all whom it held down waited for its own version, also who had changed long before that.

Change: a newcomer takes from the first layer the version that changed each object last, and holds each partner down until all act on that. Where ceilings are lent it begins with all held down, and the word frees them four terms later, as with others. What a layer passed (watching_ahead.py) is as it was before newcomers.

--- a/rushweir/config/live.py
+++ b/rushweir/config/live.py
@@ -171,10 +171,11 @@
     return _acting(replace(known, file=file, spots=spots, between=between), mine), deltas
 
 
-def newcomer(passed: Passed, version: int, least: int) -> Between:
-    """What is in between for an ingress that starts with nothing, at a version. ``passed``: of all that changed after
-    ``least``, which all others act on, or on a later one."""
-    return Between.of_newcomer(version, least, (name for kind, name in passed if kind == "partner"))
+def newcomer(versions: Mapping[Key, int], version: int, least: int, lent: bool) -> Between:
+    """What is in between for an ingress that starts with nothing, at a version. ``versions``: those that changed its
+    objects last; ``least``: one that all others act on, or on a later one; ``lent``: ceilings are."""
+    partners = {name: v for (kind, name), v in versions.items() if kind == "partner"}
+    return Between.of_newcomer(version, 0 if lent else least, partners)
 
 
 def _passed(passed: Passed, mine: Delta, count: int) -> dict[str, tuple[Doors, ...]]:
--- a/rushweir/daemon/rollouts.py
+++ b/rushweir/daemon/rollouts.py
@@ -2,7 +2,8 @@
 
     start, with something kept      its objects, checked, before the ingress serves; no control process is needed
     start, with nothing             the first version that comes and fits; who changed after what all act on is held
-                                    down until all act on it
+                                    down until all act on that change; where ceilings are lent, all until
+                                    four terms after they do
     a change                        applied in a turn of the loop (reloading.py), then appended to the log
     a large step                    read, weighed and prepared in threads, applied in a turn, noted in the next
     all act on a version            told to whoever holds ceilings down meanwhile (config/live.py, settled)
@@ -129,6 +130,7 @@
         block, state = config.file.rollout, config.state
         assert block is not None and state is not None
         self.path, self.clock, self.log = path, clock, log
+        self.lent = config.file.fleet is not None
         spot = config.spots.get(("rollout", "key_file"), Spot(str(path), 1, 1))
         key = read_key(config.base / block.key_file, "key-file", spot)
         self.lock = StateLock(state)
@@ -176,14 +178,16 @@
         self.carry_out()
         return await self.first
 
-    async def _first(self, changes: tuple[Change, ...], version: int, passed: Any) -> None:
+    async def _first(self, changes: tuple[Change, ...], version: int, _: Any) -> None:
         rows = [(c.key, c.data) for c in changes if c.data is not None]
         if self.first.done():  # nobody serves yet; what came first is what it starts with
             raise Refused([(("", ""), "", "the ingress is starting")])
         least = self.core.least
         if version < least:  # its steps come; until then what it has may be nobody's any more
             raise Refused([(("", ""), "", f"all others act on {least} or later")])
-        between = live.newcomer(passed, version, least)
+        frozen = self.core.ahead.frozen
+        assert frozen is not None
+        between = live.newcomer(frozen.versions, version, least, self.lent)
         try:
             self.first.set_result(live.assemble(self.path, rows, version, between))
             self.between = between
--- a/rushweir/rollout/ceilings.py
+++ b/rushweir/rollout/ceilings.py
@@ -162,13 +162,13 @@
         return Between({n: x for n, x in self.customers.items() if x[0] > version}, version)
 
     @classmethod
-    def of_newcomer(cls, version: int, everywhere: int, later: Iterable[str]) -> Between:
-        """Of who starts with nothing at a version. ``later``: customers of which the version has something that
-        changed after ``everywhere``; as many as it has, since a start can't be refused for what it finds."""
-        if version <= everywhere:
-            return cls({}, everywhere)
-        entry = version, (NOBODY,)
-        return cls(dict.fromkeys((ANYBODY, *later), entry), everywhere)
+    def of_newcomer(cls, version: int, everywhere: int, versions: Mapping[str, int]) -> Between:
+        """Of who starts with nothing at a version. ``versions``: those that changed its customers last. Whoever did
+        not change after ``everywhere`` is known; of the others as many as there are, since a start can't be refused
+        for what it finds. ``everywhere`` is 0 where ceilings are lent: it may be true for less than OVER_TERMS."""
+        told = {ANYBODY: version, **versions}
+        entries = {v: (v, (NOBODY,)) for v in set(told.values()) if v > everywhere}
+        return cls({name: entries[v] for name, v in told.items() if v in entries}, everywhere)
 
     def dump(self) -> list:
         """To be kept with the settings: a process that starts anew knows no older ones."""
--- a/rushweir/rollout/watching.py
+++ b/rushweir/rollout/watching.py
@@ -397,4 +397,4 @@
             if self.refusal is not None and self.refusal.version == self.ahead.version:
                 return
             version = self.ahead.version
-            self.orders.append(Apply(self.ahead.freeze(self.least), version))
+            self.orders.append(Apply(self.ahead.freeze(), version))
--- a/rushweir/rollout/watching_ahead.py
+++ b/rushweir/rollout/watching_ahead.py
@@ -18,7 +18,6 @@
     a layer that is refused                  what it was, and it had passed, if overtaken meanwhile
     of no row; a difference that tells by names
     of what is left who is gone              any partner that is not known
-    of the first version of all              anything, unless it is as old as a version that all act on
 """
 
 from __future__ import annotations
@@ -90,10 +89,7 @@
     """A layer while it is applied. The book under it stays as it is meanwhile, so that all of this may be asked
     beside the loop."""
 
-    def __init__(self, ahead: Ahead, rows: Mapping[str, bytes | None], least: int = -1) -> None:
-        """``least``: a version that all act on, or on a later one; below 0: what passed before the first version of
-        all is not asked."""
-        self.after = -1 if ahead.book.version else least
+    def __init__(self, ahead: Ahead, rows: Mapping[str, bytes | None]) -> None:
         self.book, self.rows, self.version = ahead.book, rows, ahead.version
         self.sums, self.tally = list(ahead.sums), (ahead.count, ahead.size)
         self._passed = ahead.passed
@@ -112,11 +108,13 @@
     @property
     def passed(self) -> dict[Key, tuple[bytes, ...] | None]:
         """Objects that were something else in versions between; None: not known what."""
-        known = dict(self._passed)
-        if self.after >= 0:
-            safe = (self.after + 1).to_bytes(8, "big")  # versions of eight bytes sort as their bytes do
-            known.update((t, None) for t, held in self.rows.items() if held is not None and held >= safe)
-        return {key_of(t): None if rows is None else tuple(r[8:] for r in rows) for t, rows in known.items()}
+        known = self._passed.items()
+        return {key_of(t): None if rows is None else tuple(r[8:] for r in rows) for t, rows in known}
+
+    @property
+    def versions(self) -> dict[Key, int]:
+        """The version that changed each object last."""
+        return {key_of(t): int.from_bytes(held[:8], "big") for t, held in self.rows.items() if held is not None}
 
     def known(self) -> Passed:
         """The same, as a layer has it."""
@@ -215,10 +213,10 @@
 
     # --- the one who applies ---------------------------------------------------------------------
 
-    def freeze(self, least: int = -1) -> Frozen:
-        """What is to be applied now. ``least``: as ``Frozen`` has it."""
+    def freeze(self) -> Frozen:
+        """What is to be applied now."""
         self.applying, self.rows = self.rows, {}
-        self.frozen, self.passed = Frozen(self, self.applying, least), {}
+        self.frozen, self.passed = Frozen(self, self.applying), {}
         return self.frozen
 
     def applied(self) -> list[Row]:
--- a/tests/rollout/test_ceilings_newcomer.py
+++ b/tests/rollout/test_ceilings_newcomer.py
@@ -40,10 +40,6 @@
         self.serves, self.least, self.ahead = False, least, Ahead(PackedBook())
         self.difference(truth)
 
-    def freeze(self) -> None:
-        if self.ahead.applying is None and self.ahead.rows:
-            self.ahead.freeze(self.least)
-
     def apply(self, good: bool) -> None:
         if self.serves or not good:
             super().apply(good)
@@ -52,7 +48,7 @@
         frozen = self.ahead.frozen
         assert frozen is not None
         self.path.write_text(ME[COUNT].format(me=self.me))
-        between = live.newcomer(frozen.passed, frozen.version, self.least)
+        between = live.newcomer(frozen.versions, frozen.version, self.least, False)
         kept = [*SHARED, *((c.key, c.data) for c in frozen.changes)]
         self.config = live.assemble(self.path, kept, frozen.version, between)
         self.serves = True
@@ -132,8 +128,11 @@
 
 def test_it_is_found_that_who_went_before_the_start_is_not_known(tmp_path, monkeypatch) -> None:
     """A planted fault: only who is in the first version is held down."""
-    of = Between.of_newcomer
-    monkeypatch.setattr(live, "newcomer", lambda _, version, least: of(version, least, []).all_at_least(version))
+
+    def forgets(versions, _, least, __) -> Between:
+        return Between.of_newcomer(0, least, {name: v for (_, name), v in versions.items()})
+
+    monkeypatch.setattr(live, "newcomer", forgets)
     assert max(play(BACK, tmp_path)[0]) > 1.9
 
 
@@ -157,18 +156,26 @@
     book.take(Step(1, (partner("old", "tin"),)))
     book.take(Step(2, (partner("new", "tin"),)))
     ahead = Ahead(PackedBook())
-    ahead.rows.update((t, held) for part in book.parts for t, held in part.items())
-    ahead.version = 2
-    assert ahead.freeze(1).passed == {("partner", "new"): None}
+    delta = Delta(ahead)
+    delta.add_all(book.since(0) or ())
+    assert ahead.take(delta, 2, book.digest())
+    versions = ahead.freeze().versions
+    assert versions == {("partner", "old"): 1, ("partner", "new"): 2}
+    assert live.newcomer(versions, 2, 1, False).customers == dict.fromkeys((ANYBODY, "new"), (2, (NOBODY,)))
+    # What is lent by an older one may not be over, however long all act on it: each waits for its own change.
+    lent = live.newcomer(versions, 2, 1, True)
+    assert lent.customers == {"old": (1, (NOBODY,))} | dict.fromkeys((ANYBODY, "new"), (2, (NOBODY,)))
+    assert lent.all_at_least(1).customers.keys() == {ANYBODY, "new"}
+    assert not live.newcomer(versions, 2, 2, False).customers
 
 
 def test_as_many_as_a_start_finds_are_held_down_and_more_are_refused_as_ever() -> None:
-    many = Between.of_newcomer(9, 0, map(str, range(MOST_BETWEEN + 5)))
+    many = Between.of_newcomer(9, 0, {str(k): 9 for k in range(MOST_BETWEEN + 5)})
     assert len(many.customers) == MOST_BETWEEN + 6
     assert many.changed(10, {"1": (0, 1)}).customers["1"] == (10, (NOBODY, (0, 1)))
     with pytest.raises(live.SlotError):
         many.changed(10, {"one more": (0, 1)})
-    assert Between.of_newcomer(9, 9, "ab") == Between({}, 9)
+    assert Between.of_newcomer(9, 9, {"a": 9, "b": 3}) == Between({}, 9)
 
 
 def test_a_newcomer_and_an_old_door_share_one_whole(tmp_path) -> None:
@@ -179,7 +186,7 @@
     g = w.gateways[1]
     (tmp_path / "own.conf").write_text(ME[DOORS].format(me=1))
     kept = [*SHARED, (("plan", "tin"), plan(40, 20, 1)), (away.key, away.data)]
-    between = live.newcomer({away.key: None}, 1, 0)
+    between = live.newcomer({away.key: 1}, 1, 0, False)
     g.config = live.assemble(tmp_path / "own.conf", kept, 1, between)
     setup = g.make(g.config)
     g.core = Core(setup, Policy(setup.settings, 1, w.now), w.now)
@@ -202,7 +209,7 @@
     path, threads = tmp_path / "own.conf", []
     path.write_text(ME[DOORS].format(me=0))
     kept = [*SHARED, (("plan", "tin"), plan(40, 20, 1)), *(((c := partner(n, "tin")).key, c.data) for n in "abc")]
-    config = live.assemble(path, kept, 1, live.newcomer({("partner", n): None for n in "abc"}, 1, 0))
+    config = live.assemble(path, kept, 1, live.newcomer({("partner", n): 1 for n in "abc"}, 1, 0, False))
     core = Core(config.setup(), Policy(config.setup().settings, 1, 0.0), 0.0)
     core.start(0.0)
 
