--- a/rushweir/rollout/watching_ahead.py
+++ b/rushweir/rollout/watching_ahead.py
@@ -16,6 +16,8 @@
     overtaken by a later row                 what it was
     of a difference, two versions or more    anything
     a layer that is refused                  what it was, and it had passed, if overtaken meanwhile
+    of no row; a difference that tells by names
+    of what is left who is gone              any partner that is not known
 """
 
 from __future__ import annotations
@@ -41,6 +43,7 @@
     weight,
     whole_digest,
 )  # fmt: skip
+from rushweir.rollout.ceilings import ANYBODY
 from rushweir.rollout.steps import Change, Key, Step
 
 MOST_PASSED, MOST_WAYS = 4_096, 8  # objects of which it is kept what they were in between, and how often of each
@@ -54,6 +57,7 @@
         self.ahead, self.rows, self.beside = ahead, dict[str, bytes | None](), ahead.taken
         self.sums: dict[int, int] = {}
         self.count = self.size = 0  # objects and bytes more
+        self.by_names = False  # what is gone is told by the names of all that is left
 
     def add_all(self, rows: Iterable[Row]) -> None:
         """By parts: a look into the book unpacks one."""
@@ -74,6 +78,7 @@
 
     def leave(self, part: int, marks: bytes) -> None:
         """What is not named in a part is gone from it."""
+        self.by_names = True
         left = {marks[at : at + MARK] for at in range(0, len(marks), MARK)}
         for text in self.ahead.names(part):
             if mark(text) not in left:
@@ -106,6 +111,11 @@
         known = self._passed.items()
         return {key_of(t): None if rows is None else tuple(r[8:] for r in rows) for t, rows in known}
 
+    @property
+    def versions(self) -> dict[Key, int]:
+        """The version that changed each object last."""
+        return {key_of(t): int.from_bytes(held[:8], "big") for t, held in self.rows.items() if held is not None}
+
     def known(self) -> Passed:
         """The same, as a layer has it."""
         return self._passed
@@ -189,6 +199,8 @@
                 self._pass(text, None)
             elif (was := self.rows.get(text)) is not None:
                 self._pass(text, (was,))
+        if skips and delta.by_names:  # who came and went between is named nowhere
+            self._pass(packed(("partner", ANYBODY)), None)
         self.rows.update(delta.rows)
         self.version, self.total = version, total
         self.count, self.size, self.taken = self.count + delta.count, self.size + delta.size, self.taken + 1
