--- a/review/common/backends.py
+++ b/review/common/backends.py
@@ -36,6 +36,7 @@
         self.state = "Ready"
         self.write_answer: Callable[[asyncio.StreamWriter, bytes], Awaitable[bool]] = write_with_length
         self.writers: set[asyncio.StreamWriter] = set()
+        self.busy: set[asyncio.StreamWriter] = set()  # connections on which a request waits for its answer
         self.tasks: set[asyncio.Task[None]] = set()
 
     async def open(self) -> None:
@@ -54,6 +55,7 @@
         try:
             while True:
                 request = await read_message(reader)
+                self.busy.add(writer)
                 # The work has a task of its own: it goes on where the connection ends.
                 work = asyncio.create_task(self._run(request))
                 self.tasks.add(work)
@@ -63,11 +65,13 @@
                     writer.write(answer_bytes(503, b"", "Srv-Declined: 1\r\n"))
                 elif not await self.write_answer(writer, body):
                     break
+                self.busy.discard(writer)
                 await writer.drain()
         except (asyncio.IncompleteReadError, OSError, asyncio.CancelledError):
             pass
         finally:
             self.writers.discard(writer)
+            self.busy.discard(writer)
             with contextlib.suppress(OSError):
                 writer.close()
 
--- a/review/common/clients.py
+++ b/review/common/clients.py
@@ -37,6 +37,7 @@
         self.closed_doors: set[int] = set()  # ingresses to which the front brings no new connection
         self.stopping = False
         self.serial = 0
+        self.customers = 7  # who ask in turn
         self.tasks: set[asyncio.Task[None]] = set()
 
     def new_request(self, class_name: str | None = None) -> Request:
@@ -45,11 +46,15 @@
         self.serial += 1
         return Request(f"r{self.serial:06d}", f"k{self.serial:06d}", chosen["name"], chosen["giveUpMs"])
 
+    def customer(self, request_id: str) -> int:
+        """Returns the customer of a request."""
+        return int(request_id[1:]) % self.customers + 1
+
     def to_bytes(self, request: Request) -> bytes:
         """Returns a request as the protocol has it."""
         repeat = next(c["repeat"] for c in self.classes if c["name"] == request.class_name)
         method, body = ("GET", b"") if repeat == "read_like" else ("POST", b'{"n":1}')
-        customer = int(request.id[1:]) % 7 + 1
+        customer = self.customer(request.id)
         lines = [
             f"{method} /api?customer={customer:016x} HTTP/1.1", "Host: origin.svc", f"Req-Id: {request.id}",
             f"Req-Kind: {request.class_name}", f"X-Contract: {self.plan}",
--- a/review/common/fleet.py
+++ b/review/common/fleet.py
@@ -6,6 +6,7 @@
 import contextlib
 import json
 import os
+import random
 import signal
 import socket
 import tempfile
@@ -19,6 +20,7 @@
 
 ROOT = Path(__file__).resolve().parents[2]
 READY_S = 30.0  # an ingress has so long to be ready
+PORTS = 12_000, 30_000
 
 
 class CannotRun(Exception):
@@ -26,15 +28,15 @@
 
 
 def free_ports(kind: socket.SocketKind, count: int) -> list[int]:
-    """Returns ports of loopback that are free now."""
-    sockets = [socket.socket(socket.AF_INET, kind) for _ in range(count)]
-    try:
-        for one in sockets:
-            one.bind(("127.0.0.1", 0))
-        return [one.getsockname()[1] for one in sockets]
-    finally:
-        for one in sockets:
-            one.close()
+    """Returns ports of loopback that are free now, below those that the system gives to connections."""
+    found: list[int] = []
+    for port in random.sample(range(*PORTS), 1000):
+        with socket.socket(socket.AF_INET, kind) as one, contextlib.suppress(OSError):
+            one.bind(("127.0.0.1", port))
+            found.append(port)
+        if len(found) == count:
+            return found
+    raise CannotRun("no free ports")
 
 
 def request_class(name: str, repeat: str, aim_ms: float, deadline_ms: float, **more: Any) -> dict[str, Any]:
