--- a/review/common/clients.py
+++ b/review/common/clients.py
@@ -47,8 +47,8 @@
         return Request(f"r{self.serial:06d}", f"k{self.serial:06d}", chosen["name"], chosen["giveUpMs"])
 
     def customer(self, request_id: str) -> int:
-        """Returns the customer of a request."""
-        return int(request_id[1:]) % self.customers + 1
+        """Returns the customer of a request; 0 where the text is no id of a request."""
+        return int(request_id[1:]) % self.customers + 1 if request_id[1:].isdigit() else 0
 
     def to_bytes(self, request: Request) -> bytes:
         """Returns a request as the protocol has it."""
