--- a/review/6/case.py
+++ b/review/6/case.py
@@ -7,7 +7,7 @@
 
 from world import LOOPBACK, CannotRun, World, Backend, customer_id, play, say, settings_of_site, trouble_wanted
 
-MEMORY_MB = 64  # the pages: 32 to 192 MB
+MEMORY_MB = 48  # the pages: 32 to 192 MB
 SOCKETS = 512  # the pages: 256 to 1,024
 BAD_CLIENTS = 10
 NOISE_BYTES = 2000
@@ -69,7 +69,7 @@
                     f"bad clients began ({len(turned_away)} connections turned away; {quiet_mb:.0f} MB before); killed with "
                     f"{open_now} requests open"]
     say(f"{quiet_mb:.1f} MB before, {peak_mb:.1f} MB at most; {len(turned_away)} connections turned away")
-    if trouble_wanted() and len(turned_away) < 25_000:
+    if trouble_wanted() and len(turned_away) < 30_000:
         raise CannotRun("the bad clients came to few connections: the machine was too slow")
     return []
 
