--- a/review/stand-ins-2/world.py
+++ b/review/stand-ins-2/world.py
@@ -142,7 +142,7 @@
 
     def __init__(self, world: World, name: str, zone: str, kind: str = "std", work_s: float = 0.02) -> None:
         self.world, self.name, self.zone, self.kind, self.work_s = world, name, zone, kind, work_s
-        self.cell, self.state, self.started_ms, self.port = 0, "Ready", 0.0, free_port()
+        self.cell, self.state, self.started_ms, self.port = 0, "Ready", 0.0, 0
         self.answering: Answering | None = None  # replaces the usual answer
         self.server: asyncio.Server | None = None
         self.arrivals: list[Arrival] = []
@@ -151,6 +151,7 @@
     async def open(self) -> None:
         """Listens."""
         self.server = await asyncio.start_server(self._serve, LOOPBACK, self.port, limit=MAX_HEAD_BYTES, backlog=512)
+        self.port = self.server.sockets[0].getsockname()[1]
 
     def entry(self) -> dict[str, Any]:
         """The backend's entry in discovery's list."""
@@ -205,7 +206,7 @@
     """The agent of discovery: the whole list, and a watch that waits for changes."""
 
     def __init__(self, world: World) -> None:
-        self.world, self.port, self.version = world, free_port(), 41
+        self.world, self.port, self.version = world, 0, 41
         self.changes: list[tuple[int, dict[str, Any]]] = []
         self.changed = asyncio.Event()
         self.answer_delay_s = 0.0  # from a call's end of waiting to its answer
@@ -214,6 +215,7 @@
     async def open(self) -> None:
         """Listens."""
         self.server = await asyncio.start_server(self._serve, LOOPBACK, self.port)
+        self.port = self.server.sockets[0].getsockname()[1]
 
     def page(self, full: bool = True, servers: list[dict[str, Any]] | None = None) -> dict[str, Any]:
         """A list in discovery's form."""
