--- a/review/10/case.py
+++ b/review/10/case.py
@@ -85,14 +85,18 @@
             if attempt.at > closed + ALLOWED_S + SLACK_S and not disturbed:
                 late.append(round(attempt.at - closed, 3))
                 world.record.add("attempt_after_close", id=request_id, backend=attempt.backend, after_s=late[-1])
-    say(f"{len(world.sent)} usual requests, {served} served; {len(closed_at)} requests of clients that left, "
+    say(
+        f"{len(world.sent)} usual requests, {served} served; {len(closed_at)} requests of clients that left, "
         f"{sum(bool(world.attempts_of(i)) for i in closed_at)} of them sent on, {len(late)} more than "
-        f"{ALLOWED_S + SLACK_S:.2f} s after the close; the stand-ins were late {len(late_at)} times")
+        f"{ALLOWED_S + SLACK_S:.2f} s after the close; the stand-ins were late {len(late_at)} times"
+    )
     if not served:
         raise CannotRun("nothing was served")
     if late:
-        return [f"lost: {len(late)} attempts began for clients that had closed, {min(late):.3f} to {max(late):.3f} s after the "
-                f"close ({ALLOWED_S} s and {SLACK_S} s of slack are allowed)"]
+        return [
+            f"lost: {len(late)} attempts began for clients that had closed, {min(late):.3f} to {max(late):.3f} s "
+            f"after the close ({ALLOWED_S} s and {SLACK_S} s of slack are allowed)"
+        ]
     return []
 
 
--- a/review/6/case.py
+++ b/review/6/case.py
@@ -5,7 +5,7 @@
 import sys
 from pathlib import Path
 
-from world import LOOPBACK, CannotRun, World, Backend, customer_id, play, say, settings_of_site, trouble_wanted
+from world import LOOPBACK, Backend, CannotRun, World, customer_id, play, say, settings_of_site, trouble_wanted
 
 MEMORY_MB = 48  # the pages: 32 to 192 MB
 SOCKETS = 512  # the pages: 256 to 1,024
@@ -65,9 +65,11 @@
             open_now = sum(s.answered_at is None and not s.error for s in world.sent)
             after_s = world.record.now() - began_at
             await ingress.kill()  # the platform: "over `memory_mb` the ingress is killed"
-            return [f"crash: {peak_mb:.0f} MB of private memory, {MEMORY_MB} are allowed, {after_s:.1f} s after {BAD_CLIENTS} "
-                    f"bad clients began ({len(turned_away)} connections turned away; {quiet_mb:.0f} MB before); killed with "
-                    f"{open_now} requests open"]
+            return [
+                f"crash: {peak_mb:.0f} MB of private memory, {MEMORY_MB} are allowed, {after_s:.1f} s after "
+                f"{BAD_CLIENTS} bad clients began ({len(turned_away)} connections turned away; {quiet_mb:.0f} MB "
+                f"before); killed with {open_now} requests open"
+            ]
     say(f"{quiet_mb:.1f} MB before, {peak_mb:.1f} MB at most; {len(turned_away)} connections turned away")
     if trouble_wanted() and len(turned_away) < 30_000:
         raise CannotRun("the bad clients came to few connections: the machine was too slow")
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -5,7 +5,7 @@
 import sys
 from pathlib import Path
 
-from world import ANSWER_GRACE_S, Backend, CannotRun, World, customer_id, play, say, settings_of_site, trouble_wanted
+from world import Backend, CannotRun, World, customer_id, play, say, settings_of_site, trouble_wanted
 
 ANSWER_DELAY_S = 1.0  # the pages count what a call brings as told 2 s after its wait has ended
 TOLD_AFTER_S = 6.0  # "at the latest 6 s after discovery had it and could be reached"
@@ -44,12 +44,18 @@
     limit = drained_at + TOLD_AFTER_S + GRACE_S + SLACK_S
     late = [arrival for arrival in drained.arrivals if arrival.at > limit]
     served = sum(sent.status == 200 for sent in world.sent)
-    say(f"{len(world.sent)} sent, {served} served; the drained backend had {before} before, "
-          f"{len(drained.arrivals) - before} after, of them {len(late)} later than {TOLD_AFTER_S + GRACE_S + SLACK_S:.2f} s")
+    say(
+        f"{len(world.sent)} sent, {served} served; the drained backend had {before} before, "
+        f"{len(drained.arrivals) - before} after, of them {len(late)} later than "
+        f"{TOLD_AFTER_S + GRACE_S + SLACK_S:.2f} s"
+    )
     if not late:
         return []
     last = late[-1].at - drained_at
-    return [f"drain: {len(late)} requests reached {drained.name} more than 7.05 s after it drained, the last {last:.2f} s after"]
+    return [
+        f"drain: {len(late)} requests reached {drained.name} more than 7.05 s after it drained, "
+        f"the last {last:.2f} s after"
+    ]
 
 
 if __name__ == "__main__":
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,4 +1,4 @@
-"""A part of the backends' answers over HTTP have no length: status 200, a whole body, then the end of the connection."""
+"""A part of the answers over HTTP have no length: status 200, a whole body, then the end of the connection."""
 
 import asyncio
 import random
@@ -6,7 +6,18 @@
 import uuid
 from pathlib import Path
 
-from world import Arrival, Backend, CannotRun, World, customer_id, play, say, settings_of_site, trouble_wanted, usual_answer
+from world import (
+    Arrival,
+    Backend,
+    CannotRun,
+    World,
+    customer_id,
+    play,
+    say,
+    settings_of_site,
+    trouble_wanted,
+    usual_answer,
+)
 
 SHARE_WITHOUT_LENGTH = 0.4  # of the answers
 REQUESTS_PER_S = 25
@@ -50,15 +61,20 @@
     )
     answered = {arrival.id for arrival in without_length}
     not_served = [sent for sent in world.sent if sent.id in answered and sent.status != 200]
-    say(f"{len(world.sent)} sent, {len(bodies)} served; {len(without_length)} answers without a length came whole, "
-          f"{forwarded} of them were forwarded; {len(not_served)} requests with such an answer were told "
-          f"{sorted({str(sent.status) for sent in not_served})}, {sum(s.kind == 'booking' for s in not_served)} of them bookings")
+    say(
+        f"{len(world.sent)} sent, {len(bodies)} served; {len(without_length)} answers without a length came whole, "
+        f"{forwarded} of them were forwarded; {len(not_served)} requests with such an answer were told "
+        f"{sorted({str(sent.status) for sent in not_served})}, "
+        f"{sum(s.kind == 'booking' for s in not_served)} of them bookings"
+    )
     if not trouble_wanted():
         return [] if len(bodies) > 0.9 * len(world.sent) else ["served too little without the disruption"]
     if len(without_length) < 20:
         raise CannotRun("too few answers without a length")
     if forwarded < FORWARDED_SHARE * len(without_length):
-        return [f"lost: of {len(without_length)} answers without a length that came whole, {forwarded} were forwarded"]
+        return [
+            f"lost: of {len(without_length)} answers without a length that came whole, {forwarded} were forwarded"
+        ]
     return []
 
 
