The shell's files of the state folder have a module of their own

What writes the node list and the other files moves to ingress/state_files.py, as it was; the attributes are named by what they hold (list_task, next_list).

--- a/rushweir/ingress/shell.py
+++ b/rushweir/ingress/shell.py
@@ -16,9 +16,9 @@
 from pathlib import Path
 
 from rushweir import interface
-from rushweir.files import replace_file
 from rushweir.ingress import commands
 from rushweir.ingress.core import Core
+from rushweir.ingress.state_files import StateFiles
 from rushweir.ingress.transports import Connection, Datagrams, Sender
 
 HIGH_WATER = 65_536  # bytes in a transport from which on its connection is congested
@@ -73,21 +73,17 @@
         self.core = core
         self.clock = clock
         self.peers = peers or {}
-        self.folder = folder
-        self.list_file = folder / "list.json" if folder is not None else None
+        self.files = StateFiles(core, clock, folder, self.carry_out)
         self.loop = asyncio.get_running_loop()
         self.transports: dict[int, asyncio.Transport] = {}
         self.clients: dict[int, socket.socket] = {}  # the descriptors of the transports, to peek at
         self.dialed: dict[int, socket.socket] = {}  # the same, of the connections that this side opened
         self.dials: dict[int, asyncio.Task] = {}
-        self.tasks: set[asyncio.Task] = set()  # files being written
         self.buffer = memoryview(bytearray(READ_SIZE))  # shared by all reads: its content is copied at once
         self.timer: asyncio.TimerHandle | None = None
         self.timer_at = 0.0
         self.server: asyncio.Server | None = None
         self.udp: asyncio.DatagramTransport | Sender | None = None
-        self.saving: bytes | None = None  # the node list to write next
-        self.saver: asyncio.Task | None = None
         self.is_carrying_out = False
         self.killed = False
         core.engine.is_connected, core.pool.is_quiet = self.is_connected, self.is_quiet
@@ -97,9 +93,9 @@
             commands.CloseConnection: self._close,
             commands.AbortConnection: self._abort,
             commands.SendPeerDatagram: self._send_peer_datagram,
-            commands.SaveList: self._save_list,
+            commands.SaveList: self.files.save_list,
             commands.SendDatagram: self._send_datagram,
-            commands.SaveFile: self._save_file,
+            commands.SaveFile: self.files.save,
             commands.SetPeerAddresses: self._set_peer_addresses,
             commands.EndProcess: lambda command: end(command.reason) if end is not None else None,
             commands.LogEvent: log or (lambda _: None),
@@ -116,11 +112,7 @@
             self.udp, _ = await self.loop.create_datagram_endpoint(lambda: Datagrams(self), sock=peer_socket)
         elif peer_address is not None:
             self.udp, _ = await self.loop.create_datagram_endpoint(lambda: Datagrams(self), local_addr=peer_address)
-        last_list = None
-        if self.list_file is not None:
-            with contextlib.suppress(FileNotFoundError):
-                last_list = self.list_file.read_bytes()
-        self.core.start(self.clock(), last_list)
+        self.core.start(self.clock(), self.files.last_list())
         self.carry_out()
         address = {"sock": listening} if listening is not None else {"host": host, "port": port}
         backlog = self.accept_at_once
@@ -224,12 +216,11 @@
             self.udp.close()
         for transport in self.transports.values():
             transport.abort()
-        tasks = [*self.tasks, *self.dials.values()]
-        for task in tasks:
+        dials = list(self.dials.values())
+        for task in dials:
             task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
-        if self.saver is not None:
-            await self.saver
+        await asyncio.gather(*dials, return_exceptions=True)
+        await self.files.close()
 
     # --- commands --------------------------------------------------------------------------------
 
@@ -360,36 +351,3 @@
 
     def _set_peer_addresses(self, command: commands.SetPeerAddresses) -> None:
         self.peers = command.addresses
-
-    def _save_file(self, command: commands.SaveFile) -> None:
-        assert self.folder is not None  # only components with a state folder save files
-        task = self.loop.create_task(self._write_file(self.folder / command.name, command))
-        self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
-
-    async def _write_file(self, path: Path, command: commands.SaveFile) -> None:
-        try:
-            await asyncio.to_thread(replace_file, path, command.data)
-        except OSError as problem:
-            self.core.log(self.clock(), "error", "file_not_kept", file=command.name, why=str(problem))
-        else:
-            self.core.file_saved(self.clock(), command.serial)
-        self.carry_out()
-
-    def _save_list(self, command: commands.SaveList) -> None:
-        """Write the node list in a thread; of several lists that come meanwhile only the last is written."""
-        self.saving = command.data
-        if self.list_file is not None and self.saver is None:
-            self.saver = self.loop.create_task(self._write_lists())
-
-    async def _write_lists(self) -> None:
-        assert self.list_file is not None
-        while (data := self.saving) is not None:
-            self.saving = None
-            try:
-                await asyncio.to_thread(replace_file, self.list_file, data)
-            except OSError as problem:
-                # The ingress goes on; the next list is written, and a failure logged, again.
-                self.core.log(self.clock(), "error", "list_not_kept", why=str(problem))
-                self.carry_out()
-        self.saver = None
--- a/tests/ingress/test_failures.py
+++ b/tests/ingress/test_failures.py
@@ -80,7 +80,9 @@
         await harness.start()
         client = await harness.client()
         assert kind(await client.ask("position", {"data": {"work": 1}})) == "served"
-        await harness.wait_until(lambda: harness.shell.saver is None and (harness.folder / "list.json").exists())
+        await harness.wait_until(
+            lambda: harness.shell.files.list_task is None and (harness.folder / "list.json").exists()
+        )
         client.send("booking", {"data": {"work": 64 * 400}})
         await harness.wait_until(lambda: harness.arrivals(cls="booking"))
         port = int(harness.url.rsplit(":", 1)[1].split("/")[0])
--- a/tests/ingress/test_reload.py
+++ b/tests/ingress/test_reload.py
@@ -119,7 +119,9 @@
         one = harness.node_fleet.nodes[0].address
         harness.core.drain_node(harness.shell.clock(), one)
         carry_out(harness)
-        await harness.wait_until(lambda: harness.shell.saver is None and harness.shell.saving is None)
+        await harness.wait_until(
+            lambda: harness.shell.files.list_task is None and harness.shell.files.next_list is None
+        )
         await harness.shell.kill()
         await harness.start(units_per_s=None, ready=1)
         assert (
