--- a/rushweir/daemon/control_wires.py
+++ b/rushweir/daemon/control_wires.py
@@ -53,6 +53,7 @@
         self.messages: Messages | None = None
         self.session: Session | None = None
         self.transport: asyncio.Transport | None = None
+        self.end_timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: Any) -> None:
         self.transport = transport
@@ -61,7 +62,13 @@
             transport.abort()
             return
         transport.set_write_buffer_limits(high=262_144)
-        asyncio.get_running_loop().call_later(HANDSHAKE_S, self._late)
+        self._end_after(HANDSHAKE_S, self._late)
+
+    def _end_after(self, seconds: float, function: Callable[[], None]) -> None:
+        """Calls a function after a time, unless the connection is lost before: the timer would keep all of it."""
+        if self.end_timer is not None:
+            self.end_timer.cancel()
+        self.end_timer = asyncio.get_running_loop().call_later(seconds, function)
 
     def _late(self) -> None:
         if self.messages is None and self.transport is not None:
@@ -110,7 +117,7 @@
         and the other side would not read why."""
         if self.transport is not None and not self.transport.is_closing():
             self.transport.write_eof()
-            asyncio.get_running_loop().call_later(REFUSED_S, self.transport.abort)
+            self._end_after(REFUSED_S, self.transport.abort)
 
     def _shake(self, data: bytes) -> None:
         self.head_bytes += len(data)
@@ -171,6 +178,8 @@
     def connection_lost(self, problem: Exception | None) -> None:
         self.open.discard(self)
         self.incomplete.set(self, 0)
+        if self.end_timer is not None:
+            self.end_timer.cancel()
         self.transport = None
         release(self.proto)
         session, self.session = self.session, None
@@ -224,18 +233,22 @@
                     if transport is not None:
                         transport.abort()
 
-    async def _connect(self, order: c.Dial) -> None:
-        async with asyncio.timeout(order.timeout_ms / 1000):
-            await self.loop.create_connection(lambda: _Dialed(self, order.conn), order.host, order.port)
-
-    def _dialed(self, conn: int, task: asyncio.Task) -> None:
+    async def _connect(self, order: c.Dial) -> bool:
+        """Returns whether the connection is open. The exception is dropped here: the task would keep it, and the
+        exception refers to the task."""
+        try:
+            async with asyncio.timeout(order.timeout_ms / 1000):
+                await self.loop.create_connection(lambda: _Dialed(self, order.conn), order.host, order.port)
+        except Exception:  # noqa: BLE001 - besides OSError a UnicodeError, for a host name that can't be looked up
+            return False
+        return True
+
+    def _dialed(self, conn: int, task: asyncio.Task[bool]) -> None:
         self.tasks.pop(conn, None)
         link = self.links.get(conn)
-        if link is not None and not self.dead and (task.cancelled() or task.exception() is not None):
+        if link is not None and not self.dead and (task.cancelled() or not task.result()):
             link.dial_failed(self.clock(), conn)
             self.carry(link)
-        elif not task.cancelled():
-            task.exception()  # looked at, else the loop says that nobody did
 
     async def close(self) -> None:
         self.dead = True
--- a/rushweir/ingress/clients.py
+++ b/rushweir/ingress/clients.py
@@ -2,14 +2,15 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
-from dataclasses import dataclass
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
 
 from rushweir.fronts.states import CLOSING, HEAD, HTTP
 from rushweir.ingress import commands
 from rushweir.ingress.held_memory import LOG_CAUSE
 from rushweir.ingress.queries import Query
+from rushweir.ingress.timers import Timer
 
 if TYPE_CHECKING:
     from rushweir.ingress.core import Core
@@ -27,15 +28,25 @@
     front: Any
     opened_at: float
     read_count: int = 0
+    checked_read_count: int = 0  # as of the last look whether it is silent
+    quiet_read_count: int = 0  # as of when it was notified that its connection will be closed
     ping_sent: bool = False  # and nothing was read since
     write_blocked: bool = False  # answers wait, since the client does not read
-    write_blocked_count: int = 0  # how often that was so
     ended: bool = False  # nothing more is written or handled
     last_active_at: float = 0.0  # when bytes were last read, or an answer written
     timed_message: int = 0  # the last message whose reading has a time limit
     discarded_bytes: int = 0  # read after the end
     unread_bytes: int = 0  # written and not read yet, at most
     refusable_bytes: int = 0  # memory of all that it holds beside its open request
+    timers: dict[Callable[[Client], None], Timer] = field(default_factory=dict)  # one for each function at most
+
+    def end(self) -> None:
+        """Marks that nothing more is written or handled. Cancels the timers: they would keep the record for as long
+        as they run, and clients that are refused and connect again leave thousands of records a second."""
+        self.ended = True
+        for timer in self.timers.values():
+            timer.cancel()
+        self.timers.clear()
 
 
 class Clients:
@@ -66,9 +77,17 @@
             front.reject_network()
             self._flush(client)
         else:
-            self.engine.call_at(self.core.now + self.core.setup.handshake_ms, self._head_timed_out, conn)
+            self._call_at(client, self.core.now + self.core.setup.handshake_ms, self._head_timed_out)
         return conn
 
+    def _call_at(self, client: Client, when: float, function: Callable[[Client], None]) -> None:
+        """Calls ``function(client)`` at a time, unless its connection ends or this is called again before."""
+        if client.ended:
+            return
+        if (former := client.timers.get(function)) is not None:
+            former.cancel()
+        client.timers[function] = self.engine.call_at(when, function, client)
+
     def received(self, client: Client, data: bytes) -> None:
         """Bytes arrived from a client."""
         if client.ended:
@@ -94,9 +113,7 @@
         if (message := client.front.partial_message) > client.timed_message:
             # The time limit for reading holds for each message, not only for the first of a connection.
             client.timed_message = message
-            self.engine.call_at(
-                self.core.now + self.core.setup.handshake_ms, self._message_timed_out, (client.conn, message)
-            )
+            self._call_at(client, self.core.now + self.core.setup.handshake_ms, self._message_timed_out)
         self._flush(client)
 
     def _handle_requests(self, client: Client, requests: Iterable[tuple[Any, Query]]) -> None:
@@ -117,10 +134,8 @@
                 retry_after_ms = self.core.load_shedder.retry_after_ms()
                 self.engine.reject(self.core.now, client.conn, ref, partner, query, "overloaded", retry_after_ms)
 
-    def _message_timed_out(self, timer: tuple[int, int]) -> None:
-        conn, message = timer  # not the client: it would stay until then, also where it has gone
-        client = self.open.get(conn)
-        if client is not None and not client.ended and client.front.partial_message == message:
+    def _message_timed_out(self, client: Client) -> None:
+        if client.front.partial_message == client.timed_message:
             self.counts["slow_messages"] += 1
             client.front.reject_slow_head()
             self._flush(client)
@@ -135,7 +150,7 @@
         # All above the bound are closed: with one for each new client the number would stay above it.
         for oldest in idle[: len(self.open) - self.core.setup.max_clients]:
             self.counts["made_room"] += 1
-            oldest.ended = True
+            oldest.end()
             oldest.front.receive_eof()
             del self.open[oldest.conn]
             self.core.memory.set(oldest.conn, 0)
@@ -146,7 +161,7 @@
         client = self.open.pop(conn, None)
         if client is None:
             return False
-        client.ended = True
+        client.end()
         client.front.receive_eof()
         self.core.memory.set(conn, 0)
         if left := self.engine.client_left(self.core.now, conn):
@@ -166,12 +181,7 @@
         elif not client.write_blocked:
             # Reading goes on: with reading paused the end of the connection would not be seen.
             client.write_blocked = True
-            client.write_blocked_count += 1
-            self.engine.call_at(
-                self.core.now + self.core.setup.unread_ms,
-                self._write_timed_out,
-                (client, client.write_blocked_count),
-            )
+            self._call_at(client, self.core.now + self.core.setup.unread_ms, self._write_timed_out)
 
     def drained(self, client: Client) -> None:
         """The bytes that waited to be written to a client are sent."""
@@ -179,14 +189,8 @@
         client.unread_bytes = 0
         self._record_memory(client)
 
-    def _write_timed_out(self, timer: tuple[Client, int]) -> None:
-        client, blocked_count = timer
-        if (
-            client.write_blocked
-            and client.write_blocked_count == blocked_count
-            and not client.ended
-            and client.conn in self.open
-        ):
+    def _write_timed_out(self, client: Client) -> None:
+        if client.write_blocked:
             self._drop_unread(client)
 
     def _drop_unread(self, client: Client) -> None:
@@ -197,50 +201,44 @@
         client.front.fail(code, reason)
         self._flush(client)
         if not client.ended:
-            client.ended = True
+            client.end()
             self.commands.append(commands.CloseConnection(client.conn, 1000.0))
         self.engine.client_left(self.core.now, client.conn)
 
-    def _head_timed_out(self, conn: int) -> None:
-        client = self.open.get(conn)
-        if client is not None and not client.ended and client.front.state is HEAD:
+    def _head_timed_out(self, client: Client) -> None:
+        if client.front.state is HEAD:
             self.counts["slow_handshakes"] += 1
             client.front.reject_slow_head()
             self._flush(client)
 
     def _head_read(self, client: Client) -> None:
         if client.front.state is HTTP:
-            idle_ms = self.core.setup.http_idle_ms
-            self.engine.call_at(self.core.now + idle_ms, self._idle_http, (client, idle_ms))
+            self._call_at(client, self.core.now + self.core.setup.http_idle_ms, self._close_if_idle)
         else:
-            idle_ms = self.core.setup.ping_ms
-            self.engine.call_at(self.core.now + idle_ms, self._check_idle, (client, client.read_count, idle_ms))
+            client.checked_read_count = client.read_count
+            self._call_at(client, self.core.now + self.core.setup.ping_ms, self._check_silence)
 
-    def _idle_http(self, timer: tuple[Client, float]) -> None:
+    def _close_if_idle(self, client: Client) -> None:
         """Close a plain HTTP connection, which has no ping, once it had no open request for the idle time."""
-        client, idle_ms = timer
-        if client.ended or client.conn not in self.open:
-            return
-        due = (self.core.now if client.front.is_busy else client.last_active_at) + idle_ms
+        idle_since = self.core.now if client.front.is_busy else client.last_active_at
+        due = idle_since + self.core.setup.http_idle_ms
         if due > self.core.now:
-            self.engine.call_at(due, self._idle_http, timer)
+            self._call_at(client, due, self._close_if_idle)
         else:
             self._drop_silent(client)
 
-    def _check_idle(self, timer: tuple[Client, int, float]) -> None:
+    def _check_silence(self, client: Client) -> None:
         """Ping a client that was silent for the ping interval, and drop it if it stays silent. A client that lost its
         network sends no end of the connection, and would hold its descriptor for days."""
-        client, read_count, idle_ms = timer
-        if client.ended or client.conn not in self.open:
-            return
-        if client.read_count == read_count:
+        if client.read_count == client.checked_read_count:
             if client.front.state is CLOSING or client.ping_sent:
                 self._drop_silent(client)
                 return
             client.ping_sent = True
             client.front.ping()
             self._flush(client)
-        self.engine.call_at(self.core.now + idle_ms, self._check_idle, (client, client.read_count, idle_ms))
+        client.checked_read_count = client.read_count
+        self._call_at(client, self.core.now + self.core.setup.ping_ms, self._check_silence)
 
     def _drop_silent(self, client: Client) -> None:
         self.counts["silent_clients"] += 1
@@ -263,7 +261,7 @@
 
     def drop(self, client: Client) -> None:
         """Abort the connection of a client that does not read its answers, since there is no memory for them."""
-        client.ended = True
+        client.end()
         client.front.fail(POLICY_VIOLATION, "answers are not read")
         del self.open[client.conn]
         self.core.memory.set(client.conn, 0)
@@ -277,7 +275,7 @@
         if writes:
             self.commands.append(commands.Write(client.conn, b"".join(writes) if len(writes) > 1 else writes[0]))
         if end and not client.ended:
-            client.ended = True
+            client.end()
             self.commands.append(commands.CloseConnection(client.conn, 1000.0))
             self.engine.client_left(self.core.now, client.conn)
         self._record_memory(client)
@@ -306,14 +304,12 @@
         client.front.announce_close()
         self._flush(client)
         if not client.front.open_ids:
-            self.engine.call_at(self.core.now + LINGER_MS, self._close_if_quiet, (client, client.read_count))
+            client.quiet_read_count = client.read_count
+            self._call_at(client, self.core.now + LINGER_MS, self._close_if_quiet)
 
-    def _close_if_quiet(self, timer: tuple[Client, int]) -> None:
-        client, read_count = timer
-        if client.ended or client.conn not in self.open:
-            return
+    def _close_if_quiet(self, client: Client) -> None:
         # A request that is partly read is first read to its end, or times out.
-        is_quiet = client.read_count == read_count and not client.front.is_busy
+        is_quiet = client.read_count == client.quiet_read_count and not client.front.is_busy
         if is_quiet and not client.front.awaits_close_ack:
             self.close(client)
         else:
--- a/rushweir/ingress/engine.py
+++ b/rushweir/ingress/engine.py
@@ -21,7 +21,7 @@
 from rushweir.ingress.ledger import ANSWER, DONE, LEFT, Entry, Ledger
 from rushweir.ingress.protocols import DecisionPolicy, RequestObserver
 from rushweir.ingress.queries import Partner, Query
-from rushweir.ingress.timers import Timers
+from rushweir.ingress.timers import Timer, Timers
 
 ATTEMPT_END_MARGIN_MS = 5.0  # attempts end this long before their request's deadline, so that the policy can answer
 TIMER_STEP_MS = 4.0  # the policy's timers are rounded up to such steps, so that one wake-up serves several
@@ -93,9 +93,9 @@
         self.now = now
         self.timers.run_due(now)
 
-    def call_at(self, when: float, function: Callable[..., None], argument: Any) -> None:
-        """Call ``function(argument)`` at a time."""
-        self.timers.add(when, function, argument)
+    def call_at(self, when: float, function: Callable[..., None], argument: Any) -> Timer:
+        """Call ``function(argument)`` at a time; returns the timer, to be cancelled."""
+        return self.timers.add(when, function, argument)
 
     def apply_settings(self, now: float, settings: interface.Settings, margin_ms: float) -> None:
         """Apply other settings to new requests; those accepted before keep their class and deadline."""
--- a/rushweir/ingress/shell.py
+++ b/rushweir/ingress/shell.py
@@ -293,14 +293,20 @@
         task = self.dials[command.conn] = self.loop.create_task(self._connect(command))
         task.add_done_callback(lambda ended: self._dial_ended(command.conn, ended))
 
-    async def _connect(self, command: commands.Dial) -> None:
-        async with asyncio.timeout(command.timeout_ms / 1000):
-            await self.loop.create_connection(lambda: Connection(self, command.conn), command.host, command.port)
+    async def _connect(self, command: commands.Dial) -> bool:
+        """Returns whether the connection is open. The exception is dropped here: the task would keep it, and the
+        exception refers to the task."""
+        try:
+            async with asyncio.timeout(command.timeout_ms / 1000):
+                await self.loop.create_connection(lambda: Connection(self, command.conn), command.host, command.port)
+        except Exception:  # noqa: BLE001 - besides OSError a UnicodeError, for a host name that can't be looked up
+            return False
+        return True
 
-    def _dial_ended(self, conn: int, task: asyncio.Task) -> None:
+    def _dial_ended(self, conn: int, task: asyncio.Task[bool]) -> None:
         """Report a failed dial. One that the core cancelled ends here too, so its descriptor is freed at once."""
         del self.dials[conn]
-        if task.cancelled() or task.exception() is not None:
+        if task.cancelled() or not task.result():
             self.core.dial_failed(self.clock(), conn)
             self.carry_out()
 
@@ -313,7 +319,7 @@
             return
         with contextlib.suppress(OSError, RuntimeError):
             transport.write_eof()
-        self.loop.call_later(
+        transport.get_protocol().call_later(
             command.within_ms / 1000, self.linger, transport, command.within_ms, MAX_LINGER_EXTENSIONS
         )
 
@@ -325,7 +331,9 @@
         whole answer."""
         waiting = transport.get_write_buffer_size()
         if waiting and extensions and (before is None or waiting < before):
-            self.loop.call_later(within_ms / 1000, self.linger, transport, within_ms, extensions - 1, waiting)
+            transport.get_protocol().call_later(
+                within_ms / 1000, self.linger, transport, within_ms, extensions - 1, waiting
+            )
         else:
             transport.abort()
 
--- a/rushweir/ingress/transports.py
+++ b/rushweir/ingress/transports.py
@@ -5,7 +5,8 @@
 import asyncio
 import contextlib
 import socket
-from typing import TYPE_CHECKING
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Any
 
 if TYPE_CHECKING:
     from rushweir.ingress.shell import Shell
@@ -40,6 +41,13 @@
     return socket.socket(sock.family, sock.type, sock.proto, fileno=sock.fileno())
 
 
+def _break_reference_cycle(transport: asyncio.BaseTransport) -> None:
+    """Lets reference counts free a transport whose connection was lost. asyncio's transport refers to itself by its
+    reading method, and the garbage collector, which frees such cycles, runs rarely (``calm_collector``)."""
+    if hasattr(transport, "_read_ready_cb"):
+        transport._read_ready_cb = None
+
+
 class Connection(asyncio.BufferedProtocol):
     """One connection, of a client (``conn`` is None until it is made) or dialed. The event loop calls it directly
     as it reads; with streams, a task would have to wake up between each read and the core."""
@@ -48,16 +56,18 @@
         self.shell = shell
         self.conn = conn
         self.ended = False
-        self.transport: asyncio.Transport | None = None  # of a client's connection
+        self.is_client = conn is None
+        self.transport: asyncio.Transport | None = None
+        self.close_timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
         shell = self.shell
+        self.transport = transport
         transport.set_write_buffer_limits(high=shell.high_water)
         if self.conn is None:
             address = transport.get_extra_info("peername") or ("",)
             self.conn = shell.core.accepted(shell.clock(), address[0])
             shell.transports[self.conn] = transport
-            self.transport = transport
             shell.clients[self.conn] = _socket_to_peek_at(transport)
         elif self.conn in shell.core.upstream_handlers:
             shell.transports[self.conn] = transport
@@ -77,14 +87,24 @@
         shell.carry_out()
 
     def eof_received(self) -> bool:
-        if self.transport is not None and self.transport.get_write_buffer_size():
+        if self.is_client and self.transport.get_write_buffer_size():
             # A client that closed its sending direction and reads nothing would hold its descriptor for ever.
-            self.shell.loop.call_later(HALF_CLOSED_S, self.transport.abort)
+            self.call_later(HALF_CLOSED_S, self.transport.abort)
         self._end()
         return False  # the transport closes once its unsent bytes are written
 
     def connection_lost(self, problem: Exception | None) -> None:
         self._end()
+        if self.close_timer is not None:
+            self.close_timer.cancel()
+        _break_reference_cycle(self.transport)
+        self.transport = None
+
+    def call_later(self, seconds: float, function: Callable[..., None], *arguments: Any) -> None:
+        """Calls a function after a time unless the connection is lost before: the timer would keep its transport."""
+        if self.close_timer is not None:
+            self.close_timer.cancel()
+        self.close_timer = self.shell.loop.call_later(seconds, function, *arguments)
 
     def _end(self) -> None:
         if not self.ended:
--- a/tests/daemon/test_control_wires.py
+++ b/tests/daemon/test_control_wires.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 
 import pytest
 
@@ -134,3 +135,20 @@
         assert one.transport.written.startswith(b"HTTP/1.1 503 ") and one.transport.ended
 
     run(scenario)
+
+
+# Guards against: the timer of the handshake kept each connection for its 5 s, also one that had ended.
+def test_connection_that_has_ended_leaves_no_timer():
+    def timers():
+        return [t for t in gc.get_objects() if type(t) is asyncio.TimerHandle and not t.cancelled()]
+
+    async def scenario(wire, incomplete):
+        refused = wire()
+        refused.served.data_received(b"no HTTP\r\n\r\n")
+        assert refused.transport.ended and timers()
+        refused.served.connection_lost(None)
+        wire().served.connection_lost(None)
+        wire().open().served.connection_lost(None)
+        assert not timers()
+
+    run(scenario)
--- a/tests/edge/live.py
+++ b/tests/edge/live.py
@@ -28,7 +28,7 @@
 
     async def _connect(self, command):
         await self.gate.wait()
-        await super()._connect(command)
+        return await super()._connect(command)
 
     def linger(self, *args):
         self.lingering.append(args)
--- a/tests/edge/test_endings.py
+++ b/tests/edge/test_endings.py
@@ -79,7 +79,7 @@
         await live.send(sock, first)
         await live.until(lambda: client.front.partial_message)
         client.last_active_at -= 5_000.0
-        live.core.clients._idle_http((client, 1_000.0))  # the timer fires now
+        live.core.clients._close_if_idle(client)  # the timer fires now
         live.shell.carry_out()
         await live.send(sock, last)
         assert (await live.read(sock))[0] == 200
--- a/tests/lanes.py
+++ b/tests/lanes.py
@@ -47,6 +47,7 @@
         "tests/edge/test_held_memory.py",
         "tests/edge/test_leaving.py",
         "tests/edge/test_process.py",
+        "tests/edge/test_refused_connections.py",
         "tests/edge/test_shell.py",
         "tests/edge/test_signals.py",
     ),
