--- a/rushweir/edge/backends.py
+++ b/rushweir/edge/backends.py
@@ -29,12 +29,12 @@
 from typing import Any
 
 from rushweir import interface
+from rushweir.edge.answers import load_report, quota_used, result_of
 from rushweir.edge.backend_links import BUSY, DIALING, GONE, IDLE, Backend, Endpoint, Link, PoolSettings, Probe
 from rushweir.edge.http import Malformed, Message
 from rushweir.ingress import commands
 from rushweir.ingress.pool import BasePool
 
-MAX_LOAD_FIGURES = 16  # in one load report
 COOLDOWN_MS = 20.0  # more than the "some milliseconds" by which duplicate answers are late on the platform
 
 
@@ -147,7 +147,7 @@
             return
         must_close = not answer.keep or link.reader.unmatched or link.has_unsent_bytes
         self.counts["strays"] += link.reader.unmatched
-        self._end_on_link(link, _result(answer), answer)
+        self._end_on_link(link, result_of(answer), answer)
         if must_close:
             self._abort(link)
         else:
@@ -319,13 +319,13 @@
 
     def _end(self, job: commands.Attempt | Probe, result: interface.Result, answer: Message | None = None) -> None:
         self.job_places.pop(id(job), None)
-        load = _load(answer) if answer is not None else None
+        load = load_report(answer) if answer is not None else None
         if isinstance(job, Probe):
             self.ended.append(commands.ProbeEnded(job.node, result, self.now - job.sent_ms, load))
         elif answer is None:
             self.ended.append(commands.AttemptEnded(job, result))
         else:
-            self.ended.append(commands.AttemptEnded(job, result, answer.body, _quota_used(answer), load=load))
+            self.ended.append(commands.AttemptEnded(job, result, answer.body, quota_used(answer), load=load))
 
     def _probe_timed_out(self, probe: Probe) -> None:
         self._abandon(probe, interface.Result.TIMEOUT)  # no effect if it ended
@@ -369,29 +369,3 @@
             for link in [other for other in backend.idle if not self._is_reusable(other)]:
                 self._abort(link)
         self.at(self.now + self.settings.idle_ms / 10, self._close_expired, None)
-
-
-def _result(answer: Message) -> interface.Result:
-    if answer.status == 200:
-        return interface.Result.OK
-    declined = answer.status in (503, 504) and answer.headers.get(b"srv-declined", b"").strip() == b"1"
-    return interface.Result.FULL if declined else interface.Result.ERROR
-
-
-def _quota_used(answer: Message) -> int:
-    """Returns the reported meter percentage plus 1, as the policy expects it; 0 means missing or invalid."""
-    text = answer.headers.get(b"x-meter", b"")
-    return int(text) + 1 if text.isdigit() and len(text) < 7 else 0
-
-
-def _load(answer: Message) -> dict[str, float] | None:
-    """Returns the load report, or None if it is missing or invalid, which does not invalidate the answer."""
-    text = answer.headers.get(b"srv-load")
-    if text is None or len(text) > 512:
-        return None
-    try:
-        fields = [part.split("=") for part in text.decode("ascii").split(",")]
-        load = {name.strip(): float(value) for name, value in fields}
-    except ValueError:
-        return None
-    return load if len(load) <= MAX_LOAD_FIGURES and all(0 <= v < 1e12 for v in load.values()) else None
