--- a/rushweir/edge/backend_links.py
+++ b/rushweir/edge/backend_links.py
@@ -62,6 +62,11 @@
         self.has_unsent_bytes = False  # bytes of the request are still in this process
         self.reader = AnswerReader()
 
+    @property
+    def held_bytes(self) -> int:
+        """The memory of an incomplete answer."""
+        return self.reader.held_bytes
+
 
 @dataclass(slots=True)
 class Backend:
--- a/rushweir/edge/backends.py
+++ b/rushweir/edge/backends.py
@@ -54,7 +54,6 @@
         super().__init__(new_conn, at)
         self.settings, self.listed_endpoints, self.checking_idle = settings, endpoints, False
         self.backends: dict[str, Backend] = {}  # limited by the list, and by the connections of backends that left it
-        self.links: dict[int, Link] = {}
         self.job_places: dict[
             int, Link | Backend
         ] = {}  # of open jobs, by identity: the connection, or the backend where it waits
@@ -142,7 +141,7 @@
             self._end_on_link(link, interface.Result.RESET)
             self._abort(link)
             return
-        self.hold(conn, link.reader.held_bytes)
+        self.hold(conn, link.held_bytes)
         if answer is None:
             return
         must_close = not answer.keep or link.reader.unmatched or link.has_unsent_bytes
@@ -175,10 +174,6 @@
         if (link := self.links.get(conn)) is not None:
             link.has_unsent_bytes = False
 
-    def largest_incomplete_answer(self) -> tuple[int, int]:
-        """The memory of the largest answer that is not complete, in bytes, and its connection."""
-        return max(((link.reader.held_bytes, link.conn) for link in self.links.values()), default=(0, 0))
-
     def drop_incomplete_answer(self, now: float, conn: int) -> None:
         """Ends the attempt whose answer is incomplete, which may have run, since there is no memory for it."""
         self.now = now
@@ -205,7 +200,7 @@
             return
         for link in [other for other in backend.idle if not self._is_reusable(other)]:
             self._abort(link)
-        for link in backend.idle[::-1]:
+        for link in backend.idle[::-1] if self._is_writable(job) else ():
             if link.cooldown_until <= self.now and self._has_no_unread_bytes(link):
                 backend.idle.remove(link)
                 self._write(link, job)
@@ -266,15 +261,20 @@
             backend.idle.append(link)
             self._serve_waiting(link)
 
+    def _is_writable(self, job: commands.Attempt | Probe) -> bool:
+        return isinstance(job, Probe) or self.client_is_read(job)
+
     def _serve_waiting(self, link: Link) -> None:
-        """Writes the oldest waiting job that is still wanted, once the connection has cooled down."""
+        """Writes the oldest waiting job that is still wanted, once the connection has cooled down. Jobs whose clients
+        have unread input are passed over until ``client_read``."""
         backend = link.backend
         if link.state is IDLE and link.cooldown_until > self.now and backend.waiting:
             self.at(link.cooldown_until, self._serve_waiting, link)
-        while link.state is IDLE and link.cooldown_until <= self.now and backend.waiting:
-            if not self._has_no_unread_bytes(link):
+        while link.state is IDLE and link.cooldown_until <= self.now:
+            job = next(filter(self._is_writable, backend.waiting), None)
+            if job is None or not self._has_no_unread_bytes(link):
                 return
-            job = backend.waiting.popleft()
+            backend.waiting.remove(job)
             if isinstance(job, Probe) or self.wanted(job):
                 backend.idle.remove(link)
                 self._write(link, job)
@@ -309,6 +309,13 @@
             self._end_on_link(place, interface.Result.CONNECT_FAILED if place.has_unsent_bytes else result)
             self._abort(place)
 
+    def _write_unsent(self, attempt: commands.Attempt) -> None:
+        place = self.job_places[id(attempt)]
+        if isinstance(place, Backend):
+            for link in place.idle[::-1]:
+                self._serve_waiting(link)
+            self._ensure_connections(place)
+
     def _is_unsent(self, attempt: commands.Attempt) -> bool:
         place = self.job_places.get(id(attempt))
         return isinstance(place, Backend) or (place is not None and place.has_unsent_bytes)
--- a/rushweir/ingress/clients.py
+++ b/rushweir/ingress/clients.py
@@ -58,6 +58,8 @@
         self.engine = core.engine
         self.commands = core.commands
         self.counts = core.counts
+        # Whether nothing that a client sent waits to be read; the shell replaces this by a look at the socket.
+        self.has_no_unread_input: Callable[[int], bool] = lambda conn: True
 
     def accepted(self, address: str) -> int:
         """A client connected from this address; returns the number of the connection."""
@@ -106,6 +108,7 @@
         if client.conn not in self.open:
             return  # it was dropped, since it reads nothing: nobody would get the answers
         self._handle_requests(client, requests)
+        self._send_held_attempts(client)
         if client.front.discarded_count != discarded_before:
             self.counts["requests_after_close"] += client.front.discarded_count - discarded_before
         if was_head and client.front.state is not HEAD:
@@ -134,6 +137,19 @@
                 retry_after_ms = self.core.load_shedder.retry_after_ms()
                 self.engine.reject(self.core.now, client.conn, ref, partner, query, "overloaded", retry_after_ms)
 
+    def is_read(self, attempt: commands.Attempt) -> bool:
+        """Whether all input of an attempt's client was read. Its pipelined requests may fill the receive buffers, and
+        the end of its connection comes behind them: until then nobody can tell whether the client has gone."""
+        entry = self.engine.ledger.entries.get(attempt.request_id)
+        return entry is None or self.has_no_unread_input(entry.conn)
+
+    def _send_held_attempts(self, client: Client) -> None:
+        """Let attempts be sent that waited until the client's input was read."""
+        for entry in self.engine.ledger.of_connection(client.conn):
+            for attempt in entry.attempts:
+                if not attempt.ended:
+                    self.core.pool.client_read(self.core.now, attempt)
+
     def _message_timed_out(self, client: Client) -> None:
         if client.front.partial_message == client.timed_message:
             self.counts["slow_messages"] += 1
--- a/rushweir/ingress/pool.py
+++ b/rushweir/ingress/pool.py
@@ -19,12 +19,16 @@
         self.out: list[commands.ShellCommand] = []
         self.ended: list[commands.AttemptEnded | commands.ProbeEnded] = []
         self.counts: Counter[str] = Counter()
+        self.links: dict[int, Any] = {}  # open and opening connections, by their numbers
         self.now = 0.0
         self.hold: Callable[[int, int], None] = lambda conn, held_bytes: None  # records the memory of a connection
         # Whether nothing was received on a connection that is not read yet, as while the event loop is busy.
         self.is_quiet: Callable[[int], bool] = lambda conn: True
         # Whether a client still waits for an attempt, which may have been queued here for a while.
         self.wanted: Callable[[commands.Attempt], bool] = lambda attempt: True
+        # Whether all that an attempt's client sent was read. Behind unread bytes may be the end of its connection, so
+        # that nobody knows whether it still waits. The attempt is written after ``client_read``.
+        self.client_is_read: Callable[[commands.Attempt], bool] = lambda attempt: True
 
     def cancel(self, now: float, attempt: commands.Attempt) -> None:
         """Stop waiting for an attempt. Its node may go on working on it."""
@@ -38,9 +42,15 @@
         if self._is_unsent(attempt):
             self._abandon(attempt, interface.Result.CANCELLED)
 
+    def client_read(self, now: float, attempt: commands.Attempt) -> None:
+        """More input of an attempt's client was read: write the attempt if it waited for that."""
+        self.now = now
+        if self._is_unsent(attempt):
+            self._write_unsent(attempt)
+
     def largest_incomplete_answer(self) -> tuple[int, int]:
         """The memory of the largest answer that is not complete, in bytes, and its connection."""
-        return 0, 0
+        return max(((link.held_bytes, link.conn) for link in self.links.values()), default=(0, 0))
 
     def drop_incomplete_answer(self, now: float, conn: int) -> None:
         """End the attempt whose answer is incomplete: there is no memory for it."""
@@ -50,6 +60,10 @@
         """Whether an attempt is not completely sent yet."""
         raise NotImplementedError
 
+    def _write_unsent(self, attempt: commands.Attempt) -> None:
+        """Write an attempt that is not completely sent yet, if its connection permits."""
+        raise NotImplementedError
+
     def expire(self, now: float, attempt: commands.Attempt) -> None:
         """End an attempt whose deadline has passed."""
         self.now = now
--- a/rushweir/ingress/shell.py
+++ b/rushweir/ingress/shell.py
@@ -13,6 +13,7 @@
 import socket
 import time
 from collections.abc import Callable
+from enum import Enum
 from pathlib import Path
 
 from rushweir import interface
@@ -36,6 +37,26 @@
     gc.set_threshold(50_000, 20, 50)
 
 
+class Unread(Enum):
+    """What comes next on a socket that is not read yet."""
+
+    NOTHING = 0
+    BYTES = 1
+    END = 2  # closed or broken by the other side
+
+
+def _unread_input(sock: socket.socket | None) -> Unread:
+    if sock is None:
+        return Unread.NOTHING
+    try:
+        data = sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except (BlockingIOError, InterruptedError):
+        return Unread.NOTHING
+    except OSError:
+        return Unread.END
+    return Unread.BYTES if data else Unread.END
+
+
 class Clock:
     """Milliseconds that never run backwards, set by the wall clock once, at the start.
 
@@ -87,6 +108,7 @@
         self.is_carrying_out = False
         self.killed = False
         core.engine.is_connected, core.pool.is_quiet = self.is_connected, self.is_quiet
+        core.clients.has_no_unread_input = self.has_no_unread_input
         self.handlers = {
             commands.Write: self._write,
             commands.Dial: self._dial,
@@ -266,28 +288,15 @@
     def is_connected(self, conn: int) -> bool:
         """Whether a client's connection is open. Its end is looked for on the socket: in a long turn of the loop it
         may wait to be read while requests of the client are still being sent on."""
-        sock = self.clients.get(conn)
-        if sock is None:
-            return True  # not a client's, or its end is reported already
-        try:
-            return sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT) != b""
-        except (BlockingIOError, InterruptedError):
-            return True  # nothing to read
-        except OSError:
-            return False
+        return _unread_input(self.clients.get(conn)) is not Unread.END  # an end that was read is reported already
+
+    def has_no_unread_input(self, conn: int) -> bool:
+        """Whether all bytes that arrived on a client's connection were read."""
+        return _unread_input(self.clients.get(conn)) is not Unread.BYTES
 
     def is_quiet(self, conn: int) -> bool:
         """Whether nothing waits to be read on a connection that this side opened, neither bytes nor its end."""
-        sock = self.dialed.get(conn)
-        if sock is None:
-            return True
-        try:
-            sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
-        except (BlockingIOError, InterruptedError):
-            return True
-        except OSError:
-            return False
-        return False
+        return _unread_input(self.dialed.get(conn)) is Unread.NOTHING
 
     def _dial(self, command: commands.Dial) -> None:
         task = self.dials[command.conn] = self.loop.create_task(self._connect(command))
--- a/rushweir/nodes/links.py
+++ b/rushweir/nodes/links.py
@@ -43,6 +43,11 @@
         self.probes: dict[int, float] = {}  # time of sending, by the id on the wire
         self.idle_since, self.reads, self.ping_sent = now, 0, False
 
+    @property
+    def held_bytes(self) -> int:
+        """The memory of an incomplete message."""
+        return self.messages.held_bytes
+
     @property
     def load(self) -> int:
         """Attempts that wait or are in flight."""
--- a/rushweir/nodes/pool.py
+++ b/rushweir/nodes/pool.py
@@ -39,16 +39,12 @@
     that ended. Times are in milliseconds."""
 
     def __init__(
-        self,
-        settings: PoolSettings,
-        headers: dict[str, str],
-        new_conn: Callable[[Any], int],
+        self, settings: PoolSettings, headers: dict[str, str], new_conn: Callable[[Any], int],
         at: Callable[[float, Callable[..., None], Any], None],
-    ) -> None:
+    ) -> None:  # fmt: skip
         super().__init__(new_conn, at)
         self.settings, self.headers = settings, headers
         self.nodes: dict[str, Node] = {}
-        self.links: dict[int, Link] = {}
         self.link_by_attempt: dict[int, Link] = {}  # of attempts that have not ended, by their identity
 
     # --- called by the engine --------------------------------------------------------------------
@@ -65,8 +61,7 @@
             self._end_attempt(attempt, interface.Result.SUPERSEDED)
             return
         link = self._link_for(node)
-        if link is None:
-            # All connections that may be opened are full: the limit is local, and nothing was sent.
+        if link is None:  # all connections that may be opened are full: the limit is local, and nothing was sent
             self.counts["no_stream"] += 1
             self._end_attempt(attempt, interface.Result.SUPERSEDED)
             return
@@ -138,7 +133,7 @@
             return
         for text in link.messages.receive(data):
             self._handle_message(link, text)
-        self.hold(conn, link.messages.held_bytes)
+        self.hold(conn, link.held_bytes)
         self._flush(link)
         if not link.messages.open and link.state is OPEN:
             # The node closes, or violated the protocol: no further answers come (RFC 6455, 1.4).
@@ -163,10 +158,6 @@
             if link.state is OPEN:
                 self._write_waiting(link)
 
-    def largest_incomplete_answer(self) -> tuple[int, int]:
-        """The memory of the largest message of a node that is not complete, in bytes, and its connection."""
-        return max(((link.messages.held_bytes, link.conn) for link in self.links.values()), default=(0, 0))
-
     def drop_incomplete_answer(self, now: float, conn: int) -> None:
         """Ends a connection whose message is incomplete, since there is no memory; its attempts may have run."""
         self.now = now
@@ -232,10 +223,15 @@
             self._end_link(link, abort=True)
 
     def _write_waiting(self, link: Link) -> None:
-        """Writes waiting attempts to the connection, oldest first. From here on an attempt may have run."""
+        """Writes waiting attempts to the connection, oldest first, but for those whose clients have unread input.
+        From here on an attempt may have run."""
         past_grace = bool(link.waiting) and self._is_past_grace(link.node)
-        while link.waiting and len(link.streams) < self.settings.streams:
-            _, attempt = link.waiting.popitem(last=False)
+        for attempt in list(link.waiting.values()):
+            if len(link.streams) >= self.settings.streams:
+                break
+            if not past_grace and not self.client_is_read(attempt):
+                continue
+            del link.waiting[id(attempt)]
             if past_grace or not self.wanted(attempt):
                 self.counts["cut_off"] += past_grace
                 self._end_attempt(attempt, interface.Result.SUPERSEDED)
@@ -306,6 +302,11 @@
         if link.waiting and link.state is OPEN and link.writable:
             self._write_waiting(link)
 
+    def _write_unsent(self, attempt: commands.Attempt) -> None:
+        link = self.link_by_attempt[id(attempt)]
+        if link.state is OPEN and link.writable:
+            self._write_waiting(link)
+
     def _is_unsent(self, attempt: commands.Attempt) -> bool:
         link = self.link_by_attempt.get(id(attempt))
         return link is not None and id(attempt) in link.waiting
@@ -383,9 +384,8 @@
 
     def _remove_gone_nodes(self) -> None:
         """Removes nodes that are gone from the list and have no connection, so that the table stays bounded."""
-        for address in [
-            address for address, node in self.nodes.items() if not node.links and self._is_past_grace(node)
-        ]:
+        unused = [name for name, node in self.nodes.items() if not node.links and self._is_past_grace(node)]
+        for address in unused:
             # The policy sends no attempts to such an address, since its list no longer has it.
             if self.nodes[address].unavailable_since + NODE_FORGET_MS < self.now:
                 del self.nodes[address]
