--- a/rushweir/edge/backends.py
+++ b/rushweir/edge/backends.py
@@ -15,6 +15,8 @@
 Observations and the results that they prove (the platform's table):
 
     complete answer with status 200                      ok
+        (an answer without a length is complete when the
+        backend closes the connection, not when it breaks)
     503 or 504 with Srv-Declined: 1                      full: never ran
     any other complete answer                            error: may have run
     dial refused or timed out; connection lost before
@@ -153,15 +155,21 @@
             link.cooldown_until = now + COOLDOWN_MS
             self._make_idle(link)
 
-    def lost(self, now: float, conn: int) -> None:
-        """The connection ended, by close or by error."""
+    def lost(self, now: float, conn: int, is_eof: bool = False) -> None:
+        """The connection ended, by a close of the backend (``is_eof``) or by an error."""
         self.now = now
-        if (link := self.links.get(conn)) is not None:
-            if link.job is not None:
-                self._end_on_link(
-                    link, interface.Result.CONNECT_FAILED if link.has_unsent_bytes else interface.Result.RESET
-                )
-            self._remove(link)
+        if (link := self.links.get(conn)) is None:
+            return
+        if link.job is not None:
+            answer = link.reader.receive_eof() if is_eof else None
+            if link.has_unsent_bytes:
+                self._end_on_link(link, interface.Result.CONNECT_FAILED)
+            elif answer is None:
+                self._end_on_link(link, interface.Result.RESET)
+            else:
+                self.counts["answers_ended_by_close"] += 1
+                self._end_on_link(link, result_of(answer), answer)
+        self._remove(link)
 
     def congested(self, conn: int) -> None:
         """Bytes written to the connection wait in this process."""
--- a/rushweir/edge/discovery_watch.py
+++ b/rushweir/edge/discovery_watch.py
@@ -35,7 +35,7 @@
     text_field,
 )
 from rushweir.edge.backend_links import Endpoint
-from rushweir.edge.http import AnswerReader, Malformed
+from rushweir.edge.http import AnswerReader, Malformed, Message
 from rushweir.ingress import commands
 
 DISCONNECTED, DIALING, CALLING = "away", "dialing", "asking"
@@ -134,12 +134,22 @@
         self._send_call()
 
     def dial_failed(self, now: float, conn: int) -> None:
-        """The dial failed or, as ``lost``, the connection ended."""
+        """The dial failed."""
         self.now = now
         if conn == self.conn and self.state is not DISCONNECTED:
-            self._call_failed("refused" if self.state is DIALING else "lost")
+            self._call_failed("refused")
 
-    lost = dial_failed
+    def lost(self, now: float, conn: int, is_eof: bool = False) -> None:
+        """The connection ended, by a close of the agent (``is_eof``), which completes an answer without a length, or
+        by an error."""
+        self.now = now
+        if conn != self.conn or self.state is DISCONNECTED:
+            return
+        answer = self.reader.receive_eof() if is_eof and self.state is CALLING else None
+        if answer is None:
+            self._call_failed("lost")
+        else:
+            self._handle(answer)
 
     def received(self, now: float, conn: int, data: bytes) -> None:
         """Bytes arrived from discovery."""
@@ -148,15 +158,20 @@
             return
         try:
             answer = self.reader.receive(data)
-            if answer is None:
-                return
+        except Malformed as problem:
+            self._refuse(problem)
+            return
+        if answer is not None:
+            self._handle(answer)
+
+    def _handle(self, answer: Message) -> None:
+        """Applies a complete answer, and sends the next call."""
+        try:
             if answer.status != 200:
                 raise UpdateError(f"status {answer.status}")
             self._apply(orjson.loads(answer.body))
-        except (Malformed, UpdateError, orjson.JSONDecodeError) as problem:
-            self.log_events.append(commands.LogEvent("warning", "list_answer_refused", {"why": str(problem)[:300]}))
-            self.counts["refused"] += 1
-            self._call_failed("unreadable")
+        except (UpdateError, orjson.JSONDecodeError) as problem:
+            self._refuse(problem)
             return
         self.retry_delay_ms, self.skip_wait = RETRY_DELAY_MS[0], False
         if answer.keep and not self.reader.unmatched:
@@ -167,6 +182,11 @@
             self._disconnect()
             self._dial(None)
 
+    def _refuse(self, problem: Exception) -> None:
+        self.log_events.append(commands.LogEvent("warning", "list_answer_refused", {"why": str(problem)[:300]}))
+        self.counts["refused"] += 1
+        self._call_failed("unreadable")
+
     def congested(self, conn: int) -> None:
         """Does nothing: a call has a few bytes only."""
 
--- a/rushweir/ingress/core.py
+++ b/rushweir/ingress/core.py
@@ -172,11 +172,11 @@
         self.memory.enforce()
         self._process()
 
-    def ended(self, now: float, conn: int) -> None:
-        """The other side closed its sending direction, or the connection broke."""
+    def ended(self, now: float, conn: int, is_eof: bool = False) -> None:
+        """The other side closed its sending direction (``is_eof``), or the connection broke."""
         self._set_time(now)
         if not self.clients.ended(conn) and (handler := self.upstream_handlers.pop(conn, None)) is not None:
-            handler.lost(now, conn)
+            handler.lost(now, conn, is_eof)
         self._process()
 
     def congested(self, now: float, conn: int, size: int) -> None:
--- a/rushweir/ingress/transports.py
+++ b/rushweir/ingress/transports.py
@@ -90,11 +90,11 @@
         if self.is_client and self.transport.get_write_buffer_size():
             # A client that closed its sending direction and reads nothing would hold its descriptor for ever.
             self.call_later(HALF_CLOSED_S, self.transport.abort)
-        self._end()
+        self._end(is_eof=True)
         return False  # the transport closes once its unsent bytes are written
 
     def connection_lost(self, problem: Exception | None) -> None:
-        self._end()
+        self._end(is_eof=False)  # broken, or closed by this side, unless its end was read before
         if self.close_timer is not None:
             self.close_timer.cancel()
         _break_reference_cycle(self.transport)
@@ -106,7 +106,7 @@
             self.close_timer.cancel()
         self.close_timer = self.shell.loop.call_later(seconds, function, *arguments)
 
-    def _end(self) -> None:
+    def _end(self, *, is_eof: bool) -> None:
         if not self.ended:
             self.ended = True
             shell = self.shell
@@ -114,7 +114,7 @@
             for sockets in (shell.clients, shell.dialed):
                 if (sock := sockets.pop(self.conn, None)) is not None:
                     sock.detach()
-            shell.core.ended(shell.clock(), self.conn)
+            shell.core.ended(shell.clock(), self.conn, is_eof)
             shell.carry_out()
 
     def resume_writing(self) -> None:
--- a/rushweir/link/upstream.py
+++ b/rushweir/link/upstream.py
@@ -109,13 +109,15 @@
             self._flush()
 
     def dial_failed(self, now: float, conn: int) -> None:
-        """The connection could not be opened, or was lost."""
+        """The connection could not be opened."""
+        self.lost(now, conn)
+
+    def lost(self, now: float, conn: int, is_eof: bool = False) -> None:
+        """The connection ended, in any way."""
         self.now = now
         if conn == self.conn and self.state is not DISCONNECTED:
             self._drop_link()
 
-    lost = dial_failed
-
     def received(self, now: float, conn: int, data: bytes) -> None:
         """Bytes were read from the connection."""
         self.now = now
--- a/rushweir/nodes/pool.py
+++ b/rushweir/nodes/pool.py
@@ -139,7 +139,7 @@
             # The node closes, or violated the protocol: no further answers come (RFC 6455, 1.4).
             self._end_link(link)
 
-    def lost(self, now: float, conn: int) -> None:
+    def lost(self, now: float, conn: int, is_eof: bool = False) -> None:
         """A connection ended, in any way."""
         self.now = now
         if (link := self.links.get(conn)) is not None:
