--- a/rushweir/ingress/shell.py
+++ b/rushweir/ingress/shell.py
@@ -307,11 +307,17 @@
         exception refers to the task."""
         try:
             async with asyncio.timeout(command.timeout_ms / 1000):
-                await self.loop.create_connection(lambda: Connection(self, command.conn), command.host, command.port)
+                await self.loop.create_connection(
+                    lambda: self.dialed_protocol(command.conn), command.host, command.port
+                )
         except Exception:  # noqa: BLE001 - besides OSError a UnicodeError, for a host name that can't be looked up
             return False
         return True
 
+    def dialed_protocol(self, conn: int) -> Connection:
+        """Returns the protocol of a connection that this side opens."""
+        return Connection(self, conn)
+
     def _dial_ended(self, conn: int, task: asyncio.Task[bool]) -> None:
         """Report a failed dial. One that the core cancelled ends here too, so its descriptor is freed at once."""
         del self.dials[conn]
--- a/rushweir/lab/scale/hollow.py
+++ b/rushweir/lab/scale/hollow.py
@@ -151,9 +151,8 @@
         super()._tick()
         self.account.turn("tick", thread_time() - began)
 
-    async def _connect(self, order: c.Dial) -> None:
-        async with asyncio.timeout(order.timeout_ms / 1000):
-            await self.loop.create_connection(lambda: Link(self, order.conn), order.host, order.port)
+    def dialed_protocol(self, conn: int) -> Connection:
+        return Link(self, conn)
 
     def _write(self, order: c.Write) -> None:
         self.account.send(LIST, len(order.data))
