The checks of a request have a module of their own

What a request has to satisfy by the settings moves to edge/request_checks.py, with the health page and the ids of open requests left with the connection; the method, body and key of a class and the head to forward are functions of their own.

--- a/rushweir/edge/front.py
+++ b/rushweir/edge/front.py
@@ -1,4 +1,4 @@
-"""A client's HTTP/1.1 connection: parses and checks requests, formats answers. No I/O.
+"""A client's HTTP/1.1 connection: its requests in their order, and their answers. No I/O.
 
     HEAD --first complete request--> HTTP --end--> CLOSING
 
@@ -9,11 +9,9 @@
 
 from __future__ import annotations
 
-import re
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
-from urllib.parse import parse_qsl
 
 from rushweir import interface
 from rushweir.edge.http import (
@@ -25,16 +23,12 @@
     Message,
     RequestReader,
 )
+from rushweir.edge.request_checks import BadRequest, RequestChecks
 from rushweir.fronts.states import CLOSING, HEAD, HTTP
 from rushweir.ingress.commands import Answer, AnswerKind
-from rushweir.ingress.queries import Partner, Query
+from rushweir.ingress.queries import Query
 
 HEALTH_PATH = b"/_health"
-CUSTOMER_ID = re.compile(r"[0-9a-fA-F]{16}\Z")
-MAX_CUSTOMER = 1 << 33
-MAX_QUERY_FIELDS = 32
-VISIBLE_TOKEN = re.compile(rb"[!-~]{1,128}\Z")  # an id or key: visible ASCII, forwarded in a header as it is
-WHOLE_NUMBER = re.compile(rb"[0-9]{1,9}\Z")
 MIN_IDLE_MS = 50.0  # a client without a request may be closed for others when silent for so long
 REASONS = {
     200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 408: "Request Timeout",
@@ -48,22 +42,6 @@
 OUT_OF_MEMORY = b"out_of_memory"
 
 
-class BadRequest(Exception):
-    """A well-formed request with an invalid field; the text names the field."""
-
-    def __init__(self, status: int, reason: str) -> None:
-        super().__init__(reason)
-        self.status = status
-
-
-@dataclass(slots=True)
-class Payload:
-    """A request to forward: its body, and its head without Req-Deadline-Ms, which is added when it is sent."""
-
-    head: bytes
-    body: bytes
-
-
 @dataclass(frozen=True, slots=True)
 class QueuedRequest:
     """A complete request that waits for the answer to the one before it. Its deadline counts from its arrival."""
@@ -91,13 +69,11 @@
         self.health, self.closing, self.crowded_above, self.now = health, closing, crowded_above, now
         self.active_connections = 0  # open connections that have sent a request
         self.open_request_ids: set[bytes] = set()  # limited by the connections, each of which has one open request
-        self.adopt(settings)
+        self.checks = RequestChecks(settings)
 
     def adopt(self, settings: interface.Settings) -> None:
         """Applies new settings."""
-        self.gateways, self.max_units = settings.gateways, settings.sharing.largest_request
-        self.classes = {request_class.name.encode(): request_class for request_class in settings.classes}
-        self.plans = {plan.name.encode(): plan.name for plan in settings.plans}
+        self.checks = RequestChecks(settings)
 
 
 class ClientConnection:
@@ -171,21 +147,35 @@
                 self._write_answer(503, OUT_OF_MEMORY)
                 continue
             try:
-                request = self._checked_query(queued.message)
+                request = self._open(queued.message)
             except BadRequest as problem:
                 self._write_answer(problem.status, str(problem).encode())
                 continue
             if request is not None:
                 request.arrived_ms = queued.arrived_ms
-                self.open_bytes = MESSAGE_BYTES + len(request.payload.head) + len(request.payload.body)
-                self.open_request_id = queued.message.headers[b"req-id"]
-                self.shared.open_request_ids.add(self.open_request_id)
                 return [(self.open_request_id, request)]
         if self.open_request_id is None and self.fault is not None and not self.ended:
             self.keep = False
             self._write_answer(self.fault.status, self.fault.reason.encode())
         return []
 
+    def _open(self, message: Message) -> Query | None:
+        """Opens the request in a message and returns it, or None if it is already answered. Raises BadRequest."""
+        if message.target.partition(b"?")[0] == HEALTH_PATH:
+            if message.method != b"GET":
+                raise BadRequest(405, "GET")
+            status, page = self.shared.health()
+            self._write_answer(status, repr(page).encode())
+            return None
+        request = self.shared.checks.query(message)
+        request_id = message.headers[b"req-id"]
+        if request_id in self.shared.open_request_ids:
+            raise BadRequest(409, "Req-Id: a request under way has it")
+        self.shared.open_request_ids.add(request_id)
+        self.open_request_id = request_id
+        self.open_bytes = MESSAGE_BYTES + len(request.payload.head) + len(request.payload.body)
+        return request
+
     def receive_eof(self) -> None:
         """Handles the end of the client's stream."""
         self._release_request_id()
@@ -233,76 +223,6 @@
         self.queued_bytes = 0
         self.reader.release()
 
-    # --- requests --------------------------------------------------------------------------------
-
-    def _checked_query(self, message: Message) -> Query | None:
-        """Returns the request in a message, or None if it is already answered. Raises BadRequest."""
-        headers, shared = message.headers, self.shared
-        path, _, query = message.target.partition(b"?")
-        if path == HEALTH_PATH:
-            if message.method != b"GET":
-                raise BadRequest(405, "GET")
-            status, page = shared.health()
-            self._write_answer(status, repr(page).encode())
-            return None
-        for name in (b"req-id", b"req-kind", b"x-contract", b"req-deadline-ms", b"x-metering", b"idempotency-key"):
-            if name in message.repeated:
-                raise BadRequest(400, f"{name.decode()}: more than once")
-        if not VISIBLE_TOKEN.match(request_id := headers.get(b"req-id", b"")):
-            raise BadRequest(400, "Req-Id: 1 to 128 visible characters")
-        cls = shared.classes.get(headers.get(b"req-kind", b""))
-        if cls is None:
-            raise BadRequest(400, "Req-Kind: no such class")
-        plan = shared.plans.get(headers.get(b"x-contract", b""))
-        if plan is None:
-            raise BadRequest(400, "X-Contract: no such plan")
-        if not WHOLE_NUMBER.match(within := headers.get(b"req-deadline-ms", b"")) or not int(within):
-            raise BadRequest(400, "Req-Deadline-Ms: whole milliseconds from 1")
-        customer = _parse_customer(query)
-        units, gateway_count, first_gateway = self._parse_metering(headers.get(b"x-metering", b""))
-        key = headers.get(b"idempotency-key")
-        if cls.effect is interface.Effect.SAFE:
-            if message.method != b"GET" or message.body:
-                raise BadRequest(
-                    405 if message.method != b"GET" else 400, "a class that is safe to repeat: GET, no body"
-                )
-        elif message.method != b"POST":
-            raise BadRequest(405, "a class that is not safe to repeat: POST")
-        if cls.effect is interface.Effect.KEYED and key is None:
-            raise BadRequest(400, "Idempotency-Key: this class needs one")
-        if key is not None and not VISIBLE_TOKEN.match(key):
-            raise BadRequest(400, "Idempotency-Key: 1 to 128 visible characters")
-        if request_id in shared.open_request_ids:
-            raise BadRequest(409, "Req-Id: a request under way has it")
-        lines = [
-            message.method + b" " + message.target + b" HTTP/1.1",
-            b"Host: " + headers.get(b"host", b""),
-            b"Req-Id: " + request_id,
-        ]
-        if key is not None:
-            lines.append(b"Idempotency-Key: " + key)
-        if message.method == b"POST":
-            lines.append(b"Content-Length: %d" % len(message.body))
-        payload = Payload(b"\r\n".join(lines) + b"\r\n", message.body)
-        return Query(cls.name, payload, float(within), units, Partner(customer, plan, gateway_count, first_gateway))
-
-    def _parse_metering(self, text: bytes) -> tuple[float, int, int]:
-        fields: dict[bytes, int] = {}
-        for part in text.split(b","):
-            name, _, value = part.strip().partition(b"=")
-            if name in fields or not WHOLE_NUMBER.match(value):
-                raise BadRequest(400, "X-Metering: units, spread and first as whole numbers, once each")
-            fields[name] = int(value)
-        try:
-            units, gateway_count, first_gateway = fields[b"units"], fields[b"spread"], fields[b"first"]
-        except KeyError as missing:
-            raise BadRequest(400, f"X-Metering: {missing.args[0].decode()} is missing") from None
-        if not 0 < units <= self.shared.max_units:
-            raise BadRequest(400, "X-Metering: units out of range")
-        if not 0 < gateway_count <= self.shared.gateways or not first_gateway < self.shared.gateways:
-            raise BadRequest(400, "X-Metering: no such set of ingresses")
-        return float(units), gateway_count, first_gateway
-
     # --- output ----------------------------------------------------------------------------------
 
     def answer(self, answer: Answer) -> None:
@@ -381,14 +301,3 @@
     def refuse_new(self, reason: str) -> None:
         """Closes the connection after its next answer; requests that still arrive are answered."""
         self.refusal_reason = reason
-
-
-def _parse_customer(query: bytes) -> str:
-    try:
-        fields = parse_qsl(query.decode("latin-1"), keep_blank_values=True, max_num_fields=MAX_QUERY_FIELDS)
-    except ValueError:
-        raise BadRequest(400, f"query: {MAX_QUERY_FIELDS} fields at most") from None
-    found = [value for name, value in fields if name == "customer"]
-    if len(found) != 1 or not CUSTOMER_ID.match(found[0]) or int(found[0], 16) >= MAX_CUSTOMER:
-        raise BadRequest(400, "customer: 16 hex digits, below 2^33")
-    return found[0].lower()  # one spelling for each customer
