The id of a request is refused also a moment after its request has ended

Cause: an id was refused only while its request was open, and free as soon as the client left, though the attempt ran. Evidence: from outside, one backend of 0.6 s: the same keyed request, sent again after its client left at 0.1 s, was forwarded a second time and answered with 200; the same for a safe one and for one that had been answered. An id that was never taken (unread at a close, or queued behind another) is free.

--- a/rushweir/edge/front.py
+++ b/rushweir/edge/front.py
@@ -24,6 +24,7 @@
     RequestReader,
 )
 from rushweir.edge.request_checks import BadRequest, RequestChecks
+from rushweir.edge.request_ids import RequestIds
 from rushweir.fronts.states import CLOSING, HEAD, HTTP
 from rushweir.ingress.commands import Answer, AnswerKind
 from rushweir.ingress.queries import Query
@@ -68,12 +69,17 @@
         arrival time of the bytes that are being read, in milliseconds."""
         self.health, self.closing, self.crowded_above, self.now = health, closing, crowded_above, now
         self.active_connections = 0  # open connections that have sent a request
-        self.open_request_ids: set[bytes] = set()  # limited by the connections, each of which has one open request
         self.checks = RequestChecks(settings)
+        self.request_ids = RequestIds(_longest_deadline_ms(settings))
 
     def adopt(self, settings: interface.Settings) -> None:
         """Applies new settings."""
         self.checks = RequestChecks(settings)
+        self.request_ids.keep_ms = _longest_deadline_ms(settings)
+
+
+def _longest_deadline_ms(settings: interface.Settings) -> float:
+    return max((request_class.deadline_ms for request_class in settings.classes), default=0.0)
 
 
 class ClientConnection:
@@ -169,9 +175,8 @@
             return None
         request = self.shared.checks.query(message)
         request_id = message.headers[b"req-id"]
-        if request_id in self.shared.open_request_ids:
-            raise BadRequest(409, "Req-Id: a request under way has it")
-        self.shared.open_request_ids.add(request_id)
+        if not self.shared.request_ids.use(request_id, self.shared.now()):
+            raise BadRequest(409, "Req-Id: another request has or had it")
         self.open_request_id = request_id
         self.open_bytes = MESSAGE_BYTES + len(request.payload.head) + len(request.payload.body)
         return request
@@ -189,7 +194,7 @@
 
     def _release_request_id(self) -> None:
         if self.open_request_id is not None:
-            self.shared.open_request_ids.discard(self.open_request_id)
+            self.shared.request_ids.release(self.open_request_id, self.shared.now())
             self.open_request_id = None
             self.open_bytes = 0
 
--- a/tests/edge/request_model.py
+++ b/tests/edge/request_model.py
@@ -137,7 +137,7 @@
         core, policy = edge.core, edge.policy
         assert not core.engine.ledger.entries and not core.engine.ledger.unanswered, "requests held"
         assert (
-            not core.components.shared.open_request_ids and core.components.shared.active_connections == 0
+            not core.components.shared.request_ids.open and core.components.shared.active_connections == 0
         ), "ids or connections held"
         assert not policy.pending, "requests held by the module"
         assert not core.memory.held_bytes and not core.memory.totals.by_holder, "memory held"
--- a/tests/edge/test_clients.py
+++ b/tests/edge/test_clients.py
@@ -22,7 +22,7 @@
     assert 1900 < int(out.split(b"Req-Deadline-Ms: ")[1].split(b"\r\n")[0]) < 2000
     edge.receive(backend_conn, answer(b"done"))
     assert edge.statuses(conn) == [200] and edge.written(conn).endswith(b"\r\n\r\ndone")
-    assert not edge.core.engine.ledger.entries and not edge.core.components.shared.open_request_ids
+    assert not edge.core.engine.ledger.entries and not edge.core.components.shared.request_ids.open
 
 
 INVALID_REQUESTS = {
@@ -166,7 +166,7 @@
     assert (
         not edge.core.engine.ledger.entries
         and not edge.core.clients.open
-        and not edge.core.components.shared.open_request_ids
+        and not edge.core.components.shared.request_ids.open
     )
 
 
@@ -194,7 +194,7 @@
 def test_request_ids_of_a_lost_connection_are_released(edge):
     conn, _ = edge.send_request()
     edge.core.ended(edge.now, conn)
-    assert isinstance(edge.core.components.shared, Shared) and not edge.core.components.shared.open_request_ids
+    assert isinstance(edge.core.components.shared, Shared) and not edge.core.components.shared.request_ids.open
 
 
 def test_rejected_connections_make_room_for_new_requests():
--- a/tests/edge/test_held_memory.py
+++ b/tests/edge/test_held_memory.py
@@ -117,15 +117,19 @@
     edge.advance_ms(5_000.0)
 
 
+def request_with_an_id_of_its_own(edge):
+    return request(f"id-{edge.core.next_conn}")
+
+
 def backend_is_lost(edge):
-    conn, backend_conn = edge.send_request()
+    conn, backend_conn = edge.send_request(request_with_an_id_of_its_own(edge))
     edge.receive(backend_conn, HALF_ANSWER)
     leave(edge, conn)  # so that no attempt follows
     leave(edge, backend_conn)
 
 
 def backend_answers_garbage(edge):
-    conn, backend_conn = edge.send_request()
+    conn, backend_conn = edge.send_request(request_with_an_id_of_its_own(edge))
     leave(edge, conn)
     edge.receive(backend_conn, in_chunks(b"a" * 60_000, size=30_000).removesuffix(b"0\r\n\r\n") + b"no size\r\n")
     assert backend_conn in edge.closed
