A request whose length is too short is not answered as served

From outside: a body of 19 bytes under Content-Length: 5, and a safe request with a body and no length, were sent to the backend without what is behind their length, and got 200; the rest got 400 after it. Cause: bytes that begin no request were a fault of their own, answered after the request before them, though they can only belong to that request. Change: where the bytes right behind a request begin no message, its length is wrong: it gets the error that they get, once, and the connection ends; a queued one is not sent, one that is out is answered as failed. Line ends, another request, also an unsound one, and what follows Connection: close change nothing.

--- a/rushweir/edge/front.py
+++ b/rushweir/edge/front.py
@@ -141,6 +141,8 @@
                 kept = None if message.is_dropped else message
                 self.queue.append(QueuedRequest(kept, self.shared.now(), message.keep))
                 self.queued_bytes += self.queue[-1].held_bytes
+            if self.fault is not None and self.fault.begins_no_message:
+                self._drop_request_of_wrong_length()
             if len(self.queue) > MAX_QUEUED_REQUESTS:
                 self.fault = Fault(400, TOO_MANY_QUEUED)
         while self.open_request_id is None and self.queue and not self.ended:
@@ -165,6 +167,14 @@
             self._write_answer(self.fault.status, self.fault.reason.encode())
         return []
 
+    def _drop_request_of_wrong_length(self) -> None:
+        """Drops the last request, since the bytes right behind it begin no other one: they belong to it, and its
+        length is wrong. The error that they get is its answer."""
+        if self.queue:
+            self.queued_bytes -= self.queue.pop().held_bytes
+        else:
+            self._release_request_id()
+
     def _open(self, message: Message) -> Query | None:
         """Opens the request in a message and returns it, or None if it is already answered. Raises BadRequest."""
         if message.target.partition(b"?")[0] == HEALTH_PATH:
--- a/rushweir/edge/http.py
+++ b/rushweir/edge/http.py
@@ -30,6 +30,7 @@
 
     status: int
     reason: str
+    begins_no_message: bool = False  # the bytes are not even the beginning of a message
 
 
 class Malformed(Exception):
@@ -157,7 +158,9 @@
             self.complete.pop()  # what follows such a head belongs to another protocol
             fault = Fault(400, "no other protocol is spoken here")
         except httptools.HttpParserError as problem:
-            fault = self.fault or Fault(400, str(problem)[:100])
+            message = self.message
+            begins_no_message = message is not None and not message.target and not self.field_count
+            fault = self.fault or Fault(400, str(problem)[:100], begins_no_message)
         else:
             if self.message is None:
                 return
