Unsound forms of a request are refused: codings, versions, Host, targets

Change: a coding has to be `chunked`, once, in HTTP/1.1 and without a length; versions other than 1.1 and 1.0 get 505; HTTP/1.1 needs a Host; a target is a path or a URI of http.

--- a/rushweir/edge/front.py
+++ b/rushweir/edge/front.py
@@ -35,6 +35,7 @@
     200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 408: "Request Timeout",
     409: "Conflict", 413: "Content Too Large", 414: "URI Too Long", 429: "Too Many Requests",
     431: "Request Header Fields Too Large", 502: "Bad Gateway", 503: "Service Unavailable", 504: "Gateway Timeout",
+    505: "HTTP Version Not Supported",
 }  # fmt: skip
 # Refusals for a customer's rate get 429 (RFC 6585, 4); all others are due to the state of the service.
 QUOTA_REASONS = frozenset({"quota", "ceiling"})
--- a/rushweir/edge/http.py
+++ b/rushweir/edge/http.py
@@ -20,6 +20,7 @@
 MAX_QUEUED_REQUESTS = 64  # complete requests that wait for the answer to the one before them
 PARSE_BYTES = 4096  # parsed at a time: the limits hold to within so many bytes, however the input was split
 MESSAGE_BYTES = 1536  # of memory that a message takes beside its bytes
+HTTP_VERSIONS = ("1.1", "1.0")
 STATUSES_WITHOUT_BODY = frozenset({204, 304})  # RFC 9112, 6.3
 TOO_MANY_QUEUED = "too many requests ahead of their answers"
 
@@ -45,12 +46,13 @@
     """One message. Header names are in lower case; of a repeated header the last value is stored and its name is in
     ``repeated``. Only the fields that its reader names are stored, and no trailers."""
 
-    __slots__ = ("body", "headers", "is_dropped", "keep", "method", "repeated", "status", "target")
+    __slots__ = ("body", "headers", "is_dropped", "keep", "method", "repeated", "status", "target", "version")
 
     def __init__(self) -> None:
         self.headers: dict[bytes, bytes] = {}
         self.repeated: set[bytes] = set()
         self.body, self.target, self.method, self.status, self.keep = b"", b"", b"", 0, True
+        self.version = ""  # of HTTP, of a request
         self.is_dropped = False  # its body is not kept, and it will be refused
 
     @property
@@ -220,8 +222,8 @@
     """Reads a client's requests."""
 
     stored_fields = frozenset({
-        b"content-length", b"host", b"idempotency-key", b"req-deadline-ms", b"req-id", b"req-kind", b"x-contract",
-        b"x-metering",
+        b"content-length", b"host", b"idempotency-key", b"req-deadline-ms", b"req-id", b"req-kind",
+        b"transfer-encoding", b"x-contract", b"x-metering",
     })  # fmt: skip
 
     def __init__(self, max_body: int = MAX_BODY_BYTES) -> None:
@@ -235,11 +237,24 @@
 
     def on_headers_complete(self) -> None:
         message = self.message
-        message.method = self.parser.get_method()
+        message.method, message.version = self.parser.get_method(), self.parser.get_http_version()
+        if message.version not in HTTP_VERSIONS:
+            self._fail(505, "HTTP/1.1 or HTTP/1.0")
+        if (coding := message.headers.get(b"transfer-encoding")) is not None:
+            self._check_coding(coding)
         self._check_length()
         if b"host" in message.repeated:
             self._fail(400, "more than one Host")  # RFC 9112, 3.2
 
+    def _check_coding(self, coding: bytes) -> None:
+        """Refuses a body whose end may be seen elsewhere by others (RFC 9112, 6.1): it may hide another request."""
+        if b"content-length" in self.message.headers:
+            self._fail(400, "a length beside a transfer coding")
+        if self.message.version == "1.0":
+            self._fail(400, "a transfer coding in HTTP/1.0")
+        if coding.lower() != b"chunked" or b"transfer-encoding" in self.message.repeated:
+            self._fail(400, "Transfer-Encoding: chunked, once")
+
     def on_message_complete(self) -> None:
         super().on_message_complete()
         if len(self.complete) > MAX_QUEUED_REQUESTS:
--- a/rushweir/edge/request_checks.py
+++ b/rushweir/edge/request_checks.py
@@ -15,6 +15,7 @@
 MAX_QUERY_FIELDS = 32
 VISIBLE_TOKEN = re.compile(rb"[!-~]{1,128}\Z")  # an id or key: visible ASCII, forwarded in a header as it is
 WHOLE_NUMBER = re.compile(rb"[0-9]{1,9}\Z")
+TARGETS = (b"/", b"http://")  # origin-form and absolute-form (RFC 9112, 3.2)
 FIELDS_GIVEN_ONCE = (b"req-id", b"req-kind", b"x-contract", b"req-deadline-ms", b"x-metering", b"idempotency-key")
 
 
@@ -46,6 +47,10 @@
         """Returns the request in a message. Raises BadRequest, which names the first field at fault."""
         headers = message.headers
         _, _, query = message.target.partition(b"?")
+        if message.version == "1.1" and b"host" not in headers:
+            raise BadRequest(400, "Host: missing")  # RFC 9112, 3.2
+        if not message.target.startswith(TARGETS):
+            raise BadRequest(400, "target: a path, or a URI of the scheme http")
         for name in FIELDS_GIVEN_ONCE:
             if name in message.repeated:
                 raise BadRequest(400, f"{name.decode()}: more than once")
