What is known of customers is bounded by the memory limit of the process

Cause: a customer and its bucket, 1.2 KB (traced), stayed for 30 s after the last request, and nothing bounded their number. Change: Limits.max_customers (0: no bound, as for `serve`, whose partners are those of its settings). At the bound a gateway forgets those that differ in nothing from new ones, at most each 100 ms, so no quota or ceiling is given twice; where none can be forgotten, a new customer is refused with advice. The platform's ingress sets it to a sixth of limits.memory_mb.

--- a/rushweir/edge/service.py
+++ b/rushweir/edge/service.py
@@ -56,7 +56,8 @@
         self.config, self.signals, self.clock = config, signals, Clock()
         self.log = Log(self.clock)
         now = self.clock()
-        self.core = Core(setup(config), Policy(config.settings, config.seed, now), now)
+        ingress_setup = setup(config)
+        self.core = Core(ingress_setup, Policy(ingress_setup.settings, config.seed, now), now)
         self.ending = asyncio.Event()
 
     async def run(self) -> None:
--- a/rushweir/edge/setup.py
+++ b/rushweir/edge/setup.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
+from rushweir import interface
 from rushweir.edge.backend_links import Endpoint, PoolSettings
 from rushweir.edge.backends import Pool
 from rushweir.edge.config import Address, Config
@@ -23,6 +24,9 @@
 # Of the memory limit, for the messages of all connections: the process, its lists, and memory that is free but not
 # given back take the rest.
 HELD_SHARE = 1 / 6
+# Of the memory limit, for what is known of customers, since whoever sends requests may name ever new ones.
+CUSTOMER_SHARE = 1 / 6
+CUSTOMER_BYTES = 1_300  # of memory for a customer and its bucket
 BYTES_OF_MB = 1_048_576
 
 
@@ -95,11 +99,17 @@
     shared: Shared | None = None  # state that the client connections share
 
 
+def settings_within(config: Config) -> interface.Settings:
+    """Returns the settings with the bounds that follow from the limits of the process."""
+    max_customers = max(1, int(config.memory_mb * BYTES_OF_MB * CUSTOMER_SHARE / CUSTOMER_BYTES))
+    return replace(config.settings, limits=replace(config.settings.limits, max_customers=max_customers))
+
+
 def setup(config: Config) -> Setup:
     """Returns the setup of a configuration. Raises ValueError if its limits are too low to serve."""
     budget = Budget.of(config.sockets)
     return Setup(
-        config.settings,
+        settings_within(config),
         handshake_ms=2_000.0,
         http_idle_ms=IDLE_MS,
         unread_ms=5_000.0,
--- a/rushweir/interface.py
+++ b/rushweir/interface.py
@@ -125,6 +125,7 @@
 
     max_attempts: int = 1  # for each request
     max_open_requests: int = 1_000_000
+    max_customers: int = 0  # known at once, and as many buckets owned; 0: all that come
     max_retry_after_ms: float = 0.0
     parallel_attempts: bool = False  # whether a request may have two attempts in flight
     cancel: bool = False  # whether attempts may be cancelled
--- a/rushweir/lab/scale/pure_policy.py
+++ b/rushweir/lab/scale/pure_policy.py
@@ -167,7 +167,7 @@
     seen(one, tenants(size))
 
     def swept() -> None:
-        one.policy.quota.swept_at = -1e9
+        one.policy.quota.known.swept_at = -1e9
         one.policy.quota.tick(1.0)
 
     yield Sample("customers", "sweep_cpu", "ms", "tenants", size, cpu(swept) * 1e3, "core")
--- a/rushweir/policy/gateway_policy.py
+++ b/rushweir/policy/gateway_policy.py
@@ -5,6 +5,7 @@
 from rushweir import interface
 from rushweir.pending_requests import PendingRequest
 from rushweir.policy.in_flight_capacity import LENGTH_ALPHA, InFlightCapacity
+from rushweir.policy.known_customers import FULL_SWEEP_INTERVAL_MS
 from rushweir.policy.load_balancing import ServerPool
 from rushweir.policy.quota import COUNTER, OWNER_ORDER, Quota
 from rushweir.policy.time_constants import REPORT_LIFETIME_MS
@@ -231,8 +232,10 @@
         now = self.now
         request_class = self.capacity.classes.get(request.class_name)
         customer = self.quota.customer(request, self.now)
-        if request_class is None or customer is None:
+        if request_class is None or (customer is None and request.plan not in self.quota.plans):
             return [self.refusal(request, "unknown")]
+        if customer is None:
+            return [self.refusal(request, "too_many_customers", FULL_SWEEP_INTERVAL_MS)]
         self.capacity.popularity[request.class_name].add(request.units, now)
         self.capacity.mean_units += LENGTH_ALPHA * (request.units - self.capacity.mean_units)
         over_ceiling = customer.ceiling_tokens < request.units and not self.quota.owner_ceiling_share(customer.plan)
--- a/rushweir/policy/quota.py
+++ b/rushweir/policy/quota.py
@@ -3,11 +3,13 @@
 import math
 import random
 from struct import Struct
+from typing import Any
 from zlib import crc32
 
 from rushweir import interface, state
 from rushweir.outbox import Outbox, unpack_entries
 from rushweir.pending_requests import PendingRequest
+from rushweir.policy.known_customers import CUSTOMER_IDLE_MS, KnownCustomers
 from rushweir.policy.time_constants import MEMORY_MS, REPORT_LIFETIME_MS
 from rushweir.token_buckets import Customer, LeasedShare, TokenBucket
 
@@ -25,7 +27,6 @@
 # Of a ceiling; the rest is split equally among the gateways and is all they have while the owner can't be reached.
 OWNER_CEILING_SHARE = 1 / 3
 COUNTER_EPOCH_MS = 60000.0  # a counter's name changes with each epoch, which bounds its drift
-CUSTOMER_IDLE_MS = 30000.0  # idle customers are forgotten after this time
 # Kind, plan, customer, units, flags, request number. ASK: units of the request, flags of ``take_question_flags``.
 # SETTLE: units to charge (negative: return); flags 1 or 2 if an attempt ended, 2 if it was charged to the owner's
 # ceiling. ADMITTED, REFUSED: tokens in the owner's bucket, granted share in 1/255.
@@ -45,18 +46,18 @@
     def __init__(self, settings: interface.Settings, rng: random.Random, now: float) -> None:
         self.rng = rng
         self.started_at = now
-        self.customers = dict[int, Customer]()  # by the CRC of the name, as all maps of customers here
-        self.owned_buckets = dict[int, TokenBucket]()
+        self.known = KnownCustomers(now)
+        self.customers = self.known.customers
+        self.owned_buckets = self.known.owned_buckets
         self.outbox = Outbox(
             ENTRY_FORMAT, settings.sharing.messages_per_s, MESSAGE_BURST, MAX_ENTRIES_PER_MESSAGE, now
         )
         self.held_requests = dict[int, PendingRequest]()  # by request number
         self.unreported_customers = dict[int, Customer]()
         self.counter_calls: dict[int, list[tuple]] = {}
-        self.leased_shares = dict[int, LeasedShare]()
+        self.leased_shares = self.known.leased_shares
         self.counter_interval_ms = MIN_COUNTER_INTERVAL_MS * settings.gateways
         self.next_call_at = now
-        self.swept_at = now
         self.apply_settings(settings, now)
 
     def apply_settings(self, settings: interface.Settings, now: float) -> None:
@@ -124,11 +125,11 @@
         )
 
     def customer(self, request: interface.Request, now: float) -> Customer | None:
-        """The customer of a request, refilled up to now; None if its plan is unknown."""
+        """The customer of a request, refilled up to now; None if its plan is unknown or too many are known."""
         key = crc32(request.customer.encode())
         customer = self.customers.get(key)
         if customer is None:
-            if request.plan not in self.plans:
+            if request.plan not in self.plans or not self.has_room(self.customers, now):
                 return None
             index, plan = self.plans[request.plan]
             gateway_count, owners = self.gateways_and_owners(key, request.first_gateway, request.gateway_count)
@@ -203,6 +204,8 @@
         without them the granted share would grow as gateways ask less.
         """
         if (bucket := self.owned_buckets.get(key)) is None:
+            if not self.has_room(self.owned_buckets, now):
+                return False
             bucket = self.owned_buckets[key] = TokenBucket(plan.burst, MEMORY_MS, now)
             bucket.ceiling_refilled_at = self.started_at  # a predecessor may have spent all of the ceiling
         bucket.refill(plan.rate, plan.burst, now)
@@ -350,7 +353,8 @@
             plan = self.settings.plans[min(index, len(self.settings.plans) - 1)]
             if kind == ASK:
                 admitted = self.decide_as_owner(key, plan, units, now, (event.source, number), flags)
-                bucket = self.owned_buckets[key]
+                if (bucket := self.owned_buckets.get(key)) is None:
+                    continue  # too many are owned: without an answer, equal shares decide
                 share = plan.rate / (bucket.demand.per_s(now) + 1e-9)
                 answer = ADMITTED if admitted else REFUSED
                 entry = (answer, index, key, bucket.tokens, int(min(share, 1) * 255), number)
@@ -374,27 +378,18 @@
         self.outbox.enqueue_repeats()
         while self.unreported_customers and now >= self.next_call_at:
             calls.append(self.call_counter(self.unreported_customers.popitem()[1], 0.0, None, now))
-        if now - self.swept_at >= CUSTOMER_IDLE_MS / 10:
-            self.swept_at = now
-            self._sweep(now)
+        if self.known.sweep_is_due(now):
+            self.known.forget_idle(now)
+            self.counter_calls = {name: calls for name, calls in self.counter_calls.items() if calls}
+            held = self.held_requests.items()
+            self.held_requests = {number: one for number, one in held if now < one.request.not_after_ms}
         return calls
 
-    def _sweep(self, now: float) -> None:
-        """Forget idle customers, buckets and shares, calls that are over and held requests past their time."""
-        self.customers = {
-            key: customer
-            for key, customer in self.customers.items()
-            if now - customer.last_seen_at < CUSTOMER_IDLE_MS or customer.open_attempts
-        }
-        self.owned_buckets = {
-            key: bucket for key, bucket in self.owned_buckets.items() if now - bucket.refilled_at < CUSTOMER_IDLE_MS
-        }
-        self.leased_shares = {
-            key: lease
-            for key, lease in self.leased_shares.items()
-            if key in self.customers or now - lease.updated_at < CUSTOMER_IDLE_MS
-        }
-        self.counter_calls = {name: calls for name, calls in self.counter_calls.items() if calls}
-        self.held_requests = {
-            number: request for number, request in self.held_requests.items() if now < request.request.not_after_ms
-        }
+    def has_room(self, known: dict[int, Any], now: float) -> bool:
+        """Whether one more customer or bucket can be known; those are forgotten whose absence changes nothing."""
+        limit = self.settings.limits.max_customers or math.inf
+        if len(known) >= limit and self.known.full_sweep_is_due(now):
+            in_use = {request.customer.key for request in self.held_requests.values()}
+            in_use |= self.unreported_customers.keys()
+            self.known.forget_unused(now, in_use, self.owner_ceiling_share)
+        return len(known) < limit
--- a/rushweir/token_buckets.py
+++ b/rushweir/token_buckets.py
@@ -14,7 +14,10 @@
 class TokenBucket:
     """A customer's token bucket and attempts in flight, as its owner holds them or as a gateway had them reported."""
 
-    __slots__ = ("refilled_at", "ceiling_tokens", "ceiling_refilled_at", "demand", "tokens", "in_flight")
+    __slots__ = (
+        "refilled_at", "ceiling_tokens", "ceiling_refilled_at", "demand", "tokens", "in_flight", "rate", "burst",
+        "ceiling_rate", "ceiling_burst",
+    )  # fmt: skip
 
     def __init__(self, tokens: float, memory_ms: float, now: float) -> None:
         self.tokens = tokens
@@ -23,15 +26,29 @@
         self.ceiling_tokens = 0.0  # the owner's share of the ceiling
         self.ceiling_refilled_at = now
         self.in_flight = dict[tuple[int, int], float]()  # when each was admitted, by gateway and request number
+        # Of the last refill, in units per second and units.
+        self.rate = self.ceiling_rate = 0.0
+        self.burst = tokens
+        self.ceiling_burst = 0.0
+
+    def is_as_new(self, now: float) -> bool:
+        """Whether nothing is lost if it is forgotten: no attempt is in flight, and quota and ceiling have filled."""
+        tokens = refilled_tokens(self.tokens, self.rate, self.burst, now - self.refilled_at)
+        ceiling_ms = now - self.ceiling_refilled_at
+        ceiling = refilled_tokens(self.ceiling_tokens, self.ceiling_rate, self.ceiling_burst, ceiling_ms)
+        has_filled = (not self.rate or tokens >= self.burst) and ceiling >= self.ceiling_burst
+        return has_filled and not self.in_flight
 
     def refill(self, rate: float, burst: float, now: float) -> None:
         """Refill the quota's tokens up to now."""
         self.tokens = refilled_tokens(self.tokens, rate, burst, now - self.refilled_at)
+        self.rate, self.burst = rate, burst
         self.refilled_at = now
 
     def refill_ceiling(self, rate: float, burst: float, now: float) -> None:
         """Refill the tokens of the owner's share of the ceiling up to now."""
         self.ceiling_tokens = refilled_tokens(self.ceiling_tokens, rate, burst, now - self.ceiling_refilled_at)
+        self.ceiling_rate, self.ceiling_burst = rate, burst
         self.ceiling_refilled_at = now
 
     def count_in_flight(self, since: float) -> int:
@@ -73,6 +90,12 @@
 class Customer:
     """What a gateway knows of one customer: the owner's last report of its bucket, and the usage not yet reported."""
 
+    __slots__ = (
+        "bucket", "ceiling_refilled_at", "ceiling_tokens", "gateway_count", "gateway_range", "granted_share", "key",
+        "last_seen_at", "leased_share", "open_attempts", "owners", "plan", "plan_index", "reported_at", "reported_by",
+        "reported_tokens", "unasked_demand", "unconfirmed_units", "unreported_units",
+    )  # fmt: skip
+
     def __init__(
         self,
         plan: interface.Plan,
@@ -103,6 +126,16 @@
         self.gateway_range = 0, 1  # (first gateway, gateway count)
         self.leased_share: LeasedShare | None = None  # where ceilings are leased
 
+    def is_as_new(self, gateways_share: float, now: float) -> bool:
+        """Whether nothing is lost if it is forgotten: no attempt is open, and quota and ceiling have filled. Usage
+        that is not reported yet was charged to the bucket here, so the owner's has filled by then too."""
+        if self.open_attempts or self.leased_share is not None:
+            return False
+        self.refill(gateways_share, now)
+        own_ceiling = self.plan.ceiling_burst * gateways_share / self.gateway_count if self.plan.ceiling_rate else 0.0
+        has_quota = not self.plan.rate or self.bucket.tokens >= self.plan.burst
+        return has_quota and self.ceiling_tokens >= own_ceiling
+
     def refill(self, gateways_share: float, now: float) -> None:
         """Refill the bucket and this gateway's part of the ceiling.
 
