The test of compaction waits until the last version is on each disk

With six busy processes 1 of 4 runs failed so. The check of the three files stays as it is: each confirmed change set on each disk. What was wrong is that the kill came before the last write; the test now waits, up to its time-out, until each disk has the last one, which it did not check before.

--- a/tests/rollout/test_log_compaction_processes.py
+++ b/tests/rollout/test_log_compaction_processes.py
@@ -10,7 +10,7 @@
 from rushweir.rollout import storage
 from rushweir.rollout.change_sets import MAX_OBJECT_BYTES
 from rushweir.rollout.log import LOG_LIMITS, Snapshot, apply_change_set
-from tests.rollout.control_harness import ControlHarness
+from tests.rollout.control_harness import TIMEOUT_S, ControlHarness
 
 ALL = (0, 1, 2)
 OBJECTS = 14  # in a change set, all of the largest size
@@ -53,6 +53,20 @@
     await harness.wait_for_version(number)
 
 
+def is_on_disk(harness: ControlHarness, k: int, version: int) -> bool:
+    state = storage.decode_file(harness.log_file(k).read_bytes(), k, 3)
+    versions = {entry.version for entry in state.entries if entry.change_set is not None}
+    return state.snapshot.version >= version or version in versions
+
+
+async def wait_for_disks(harness: ControlHarness, version: int) -> None:
+    """Wait until each process has this version on its disk: it commits one that is on the disks of the two others."""
+    async with asyncio.timeout(TIMEOUT_S):
+        for k in ALL:
+            while not is_on_disk(harness, k, version):
+                await harness.wait_for_line()
+
+
 def test_kill_during_compaction_loses_nothing_confirmed(tmp_path):
     async def run() -> None:
         harness, confirmed = ControlHarness(tmp_path), set()
@@ -61,6 +75,7 @@
             await harness.wait_for_event(ALL, "leads")
             for k in ALL:
                 await kill_during_compaction(harness, k, confirmed)
+            await wait_for_disks(harness, max(confirmed))
         finally:
             await harness.stop_all()
         states = [storage.decode_file(harness.log_file(k).read_bytes(), k, 3) for k in ALL]
