An owner's answer decides a question only about its own customer

Cause: answers to quota questions go by their number alone, to an address; one to a gateway's predecessor could decide a request of another customer that has the same number. Change: the answer has to be about the customer of the question. Measured: the new test fails on the former code for both kinds of answers; tests of messages, many gateways, rules, regressions and budgets pass.

--- a/rushweir/policy/quota.py
+++ b/rushweir/policy/quota.py
@@ -366,7 +366,10 @@
                 # A second owner knows little: its report counts only in place of an old one.
                 if customer.confirm_usage(event.source) or now - customer.reported_at > MEMORY_MS:
                     customer.apply_report(min(units, customer.plan.burst), flags / 255, now, event.source)
-                if (request := self.held_requests.pop(number, None)) is not None:
+                # The number may be that of a question of this gateway's predecessor, about another customer.
+                request = self.held_requests.get(number)
+                if request is not None and request.customer.key == key:
+                    del self.held_requests[number]
                     request.owner = event.source
                     decided.append((request, kind == ADMITTED))
         return decided
--- a/tests/test_quota_messages.py
+++ b/tests/test_quota_messages.py
@@ -9,7 +9,7 @@
 
 from rushweir import interface
 from rushweir.outbox import unpack_entries
-from rushweir.policy.quota import ADMITTED, ASK, ENTRY_FORMAT, MESSAGE_BURST, SETTLE
+from rushweir.policy.quota import ADMITTED, ASK, ENTRY_FORMAT, MESSAGE_BURST, REFUSED, SETTLE
 from rushweir.state import rendezvous
 from rushweir.token_buckets import TokenBucket
 
@@ -214,3 +214,23 @@
         customer.apply_report(0.0, 0.0, gateway.now, customer.owners[0])
         gateway.now += 100.0
     assert customer.unreported_units == 0.0  # and there is no usage to report
+
+
+# Guards against an answer to a former process at this address, which asked about another customer by the same number.
+@pytest.mark.parametrize("kind", [ADMITTED, REFUSED])
+def test_answer_about_another_customer_decides_nothing(make_gateway, kind):
+    gateway = make_gateway(gateways=9, sharing=PEERS, plans=(BROAD,))
+    quota = gateway.policy.quota
+    names = [f"c{k}" for k in range(99) if 0 not in rendezvous(crc32(b"c%d" % k), set(range(9)), 2)][:2]
+    for name in names:
+        gateway.handle(interface.Request(f"r-{name}", "look", "broad", name, gateway.now + 3000.0, 1.0, 9, 0))
+    (number, held), (_, other) = quota.held_requests.items()
+
+    def answer(customer) -> None:
+        text = b85encode(ENTRY_FORMAT.pack(kind, customer.plan_index, customer.key, 9.0, 255, number)).decode()
+        gateway.handle(interface.PeerMessage(customer.owners[0], text))
+
+    answer(other.customer)
+    assert quota.held_requests.get(number) is held
+    answer(held.customer)
+    assert number not in quota.held_requests
