--- a/rushweir/ingress/shell.py
+++ b/rushweir/ingress/shell.py
@@ -18,6 +18,7 @@
 
 from rushweir import interface
 from rushweir.ingress import commands
+from rushweir.ingress.accepting import BACKLOG, Acceptor, bind
 from rushweir.ingress.core import Core
 from rushweir.ingress.state_files import StateFiles
 from rushweir.ingress.transports import Connection, Datagrams, Sender
@@ -26,7 +27,6 @@
 READ_SIZE = 65_536  # bytes
 LAST_BYTES_MS = 300.0  # for clients to read their last bytes and close, at the end
 MAX_LINGER_EXTENSIONS = 5  # of the time that a slow client has for its last bytes
-BACKLOG = 1024  # connections that wait to be accepted
 
 
 def calm_collector() -> None:
@@ -103,7 +103,7 @@
         self.buffer = memoryview(bytearray(READ_SIZE))  # shared by all reads: its content is copied at once
         self.timer: asyncio.TimerHandle | None = None
         self.timer_at = 0.0
-        self.server: asyncio.Server | None = None
+        self.acceptor: Acceptor | None = None
         self.udp: asyncio.DatagramTransport | Sender | None = None
         self.is_carrying_out = False
         self.killed = False
@@ -136,13 +136,10 @@
             self.udp, _ = await self.loop.create_datagram_endpoint(lambda: Datagrams(self), local_addr=peer_address)
         self.core.start(self.clock(), self.files.last_list())
         self.carry_out()
-        address = {"sock": listening} if listening is not None else {"host": host, "port": port}
-        backlog = self.accept_at_once
-        self.server = await self.loop.create_server(lambda: Connection(self), backlog=backlog, **address)
-        if backlog < BACKLOG and listening is not None:
-            # asyncio uses one number for both; waiting connections need no descriptor, so the queue may be longer.
-            listening.listen(BACKLOG)
-        return self.server.sockets[0].getsockname()[1]
+        sockets = [listening] if listening is not None else await bind(host, port)
+        self.acceptor = Acceptor(self, sockets, self.accept_at_once)
+        self.acceptor.start()
+        return sockets[0].getsockname()[1]
 
     def peer_port(self) -> str:
         """The address of the datagram socket, as text."""
@@ -151,7 +148,7 @@
 
     def sockets(self) -> dict[str, int]:
         """The descriptors that a successor takes over, by name."""
-        found = {"listen": self.server.sockets[0].fileno()} if self.server is not None else {}
+        found = {"listen": self.acceptor.listening[0].fileno()} if self.acceptor is not None else {}
         if self.udp is not None:
             found["peers"] = self.udp.get_extra_info("socket").fileno()
         return found
@@ -218,20 +215,14 @@
             self.carry_out()
 
     async def _stop_accepting(self) -> None:
-        """Close the listening sockets, once accepted connections have their protocol: the loop makes it in a task,
-        which fails if the server is closed by then, and the connection would stay open without a handler."""
-        if self.server is not None:
-            for listening in self.server.sockets:
-                self.loop.remove_reader(listening.fileno())
-            for _ in range(3):
-                await asyncio.sleep(0)
-            self.server.close()
+        if self.acceptor is not None:
+            await self.acceptor.stop()
 
     async def kill(self) -> None:
         """End at once without closing connections properly; a node list that is being written is completed."""
         self.killed = True
-        if self.server is not None:
-            self.server.close()
+        if self.acceptor is not None:
+            self.acceptor.close()
         if self.timer is not None:
             self.timer.cancel()
         if self.udp is not None:
--- a/rushweir/ingress/transports.py
+++ b/rushweir/ingress/transports.py
@@ -95,6 +95,8 @@
 
     def connection_lost(self, problem: Exception | None) -> None:
         self._end(is_eof=False)  # broken, or closed by this side, unless its end was read before
+        if self.is_client and self.shell.acceptor is not None:
+            self.shell.acceptor.open.discard(self)
         if self.close_timer is not None:
             self.close_timer.cancel()
         _break_reference_cycle(self.transport)
--- a/tests/lanes.py
+++ b/tests/lanes.py
@@ -46,6 +46,7 @@
         "tests/edge/test_endings.py",
         "tests/edge/test_held_memory.py",
         "tests/edge/test_leaving.py",
+        "tests/edge/test_accepting.py",
         "tests/edge/test_process.py",
         "tests/edge/test_refused_connections.py",
         "tests/edge/test_shell.py",
