Limits of settings files are given by name: refusals had lost their advice

Callers of `serve` saw, since the bound on customers: refusals without a time to come back. Cause: the new field of Limits stood in the middle, and the reader of settings gives the others by position, so the longest advice became the bound on customers and the advice 0. My fault: tests/config compared positions with positions. Change: the field is the last one; the reader gives names; the test compares by names.

--- a/rushweir/config/load.py
+++ b/rushweir/config/load.py
@@ -117,8 +117,10 @@
                 f.rules.fall_multiple, f.rules.fall_time,
             ),
             limits=i.Limits(
-                f.limits.attempts, f.limits.open, f.limits.retry_after, f.limits.second_copies, f.limits.cancel,
-                f.limits.probes, f.limits.retry_after > 0, dial_timeout_ms=f.nodes.connect_timeout,
+                max_attempts=f.limits.attempts, max_open_requests=f.limits.open,
+                max_retry_after_ms=f.limits.retry_after, parallel_attempts=f.limits.second_copies,
+                cancel=f.limits.cancel, probing=f.limits.probes, retry_after=f.limits.retry_after > 0,
+                dial_timeout_ms=f.nodes.connect_timeout,
             ),
             sharing=i.Sharing(
                 peers=f.peers is not None, messages_per_s=self._mail_per_s(),
--- a/rushweir/interface.py
+++ b/rushweir/interface.py
@@ -125,7 +125,6 @@
 
     max_attempts: int = 1  # for each request
     max_open_requests: int = 1_000_000
-    max_customers: int = 0  # known at once, and as many buckets owned; 0: all that come
     max_retry_after_ms: float = 0.0
     parallel_attempts: bool = False  # whether a request may have two attempts in flight
     cancel: bool = False  # whether attempts may be cancelled
@@ -134,6 +133,7 @@
     connection_idle_ms: float = 0.0  # a server closes a connection idle for so long; 0: connections are not known
     streams_per_connection: int = 1  # attempts that a connection carries at once
     dial_timeout_ms: float = 0.0  # an attempt ends unsent if its new connection takes longer
+    max_customers: int = 0  # known at once, and as many buckets owned; 0: all that come
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/config/test_config.py
+++ b/tests/config/test_config.py
@@ -88,7 +88,10 @@
     assert s.classes == (i.RequestClass("booking", 1200, 3000, 5, 0, i.Effect.KEYED, i.Group.ZONE, 6000),)
     assert s.plans[0] == i.Plan("teljes", 11, 20, 0, 25, 43, 4)
     assert s.rules == i.Rules(0, 1000, 0.2, 10000, 3, 1500)
-    assert s.limits == i.Limits(4, 20_000, 500, False, True, False, True, dial_timeout_ms=250)
+    assert s.limits == i.Limits(
+        max_attempts=4, max_open_requests=20_000, max_retry_after_ms=500, parallel_attempts=False, cancel=True,
+        probing=False, retry_after=True, dial_timeout_ms=250,
+    )  # fmt: skip
     assert (s.sharing.peers, s.sharing.messages_per_s, s.sharing.largest_request) == (True, 30, 6)
     setup = config.setup()
     assert setup.credentials.by_digest == {digest("x"): Partner('Hotel "A"', "teljes", 2, 2)}
