The soak of run draws clients that come again, clients that leave, and answers without a length

Change: drawn apart from the rest, so that seeds keep their scenarios: clients whose bytes can't be read and who come again at full speed, in a process of their own; clients that send much at once and close; answers without a length, whole or reset.

--- a/rushweir/lab/soak/http_backends.py
+++ b/rushweir/lab/soak/http_backends.py
@@ -5,11 +5,15 @@
 import asyncio
 import contextlib
 import random
+import socket
+import struct
 import time
 from collections import Counter
+from collections.abc import Callable
 from urllib.parse import parse_qs, urlsplit
 
 from rushweir.lab.records import Recorder
+from rushweir.lab.soak.bad_clients import BAD_TAG
 from rushweir.lab.soak.http_messages import Message, answer, read_message
 
 CORES, SPEED, COLD_FROM, COLD_MS, FALL_MULTIPLE, FALL_MS = 2, 1.0, 0.25, 8_000.0, 3.0, 1_500.0
@@ -24,6 +28,9 @@
         self.hangs = False
         self.reset_share = 0.0
         self.closes_idle = False
+        self.unsized_share = self.unsized_resets = 0.0
+        self.unsized_bodies: set[str] = set()  # of answers without a length that came whole
+        self.bad_attempt_arrived: Callable[[str], None] = lambda tag: None
         self.started_ms = 0.0  # Unix time of a cold start; 0: long ago
         self.state = "Ready"
         self.writers: set[asyncio.StreamWriter] = set()
@@ -65,6 +72,11 @@
         method, target, _ = request.start.split(" ", 2)
         query = parse_qs(urlsplit(target).query)
         tag, key = request.fields["req-id"], request.fields.get("idempotency-key", "")
+        if tag.startswith(BAD_TAG):
+            self.bad_attempt_arrived(tag)
+            await asyncio.sleep(float(query["work"][0]) / 1000)
+            writer.write(answer(200, b"for a bad client"))
+            return True
         self.attempts[tag] += 1
         number, work = self.attempts[tag], float(query["work"][0])
         self.records.note(
@@ -84,9 +96,27 @@
         gone.cancel()
         with contextlib.suppress(asyncio.CancelledError):
             await gone
+        body = f"{method} {tag} by {self.name}".encode()
+        if self.rng.random() < self.unsized_share:
+            self._answer_without_length(tag, number, body, writer)
+            return False
         self._end(tag, number, "ok")
-        writer.write(answer(200, f"{method} {tag} by {self.name}".encode()))
+        writer.write(answer(200, body))
         return True
 
+    def _answer_without_length(self, tag: str, number: int, body: bytes, writer: asyncio.StreamWriter) -> None:
+        """Sends an answer that ends with its connection, whole or reset on the way."""
+        writer.write(b"HTTP/1.1 200 -\r\nConnection: close\r\n\r\n")
+        if self.rng.random() < self.unsized_resets:
+            self._end(tag, number, "lost")
+            writer.write(body[: len(body) // 2])
+            linger_of_0_s = struct.pack("ii", 1, 0)  # a close resets the connection
+            writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger_of_0_s)
+            writer.transport.abort()
+        else:
+            self._end(tag, number, "ok")
+            self.unsized_bodies.add(body.decode())
+            writer.write(body)
+
     def _end(self, tag: str, number: int, how: str) -> None:
         self.records.note("end", node=self.name, req=tag, n=number, how=how)
--- a/rushweir/lab/soak/http_clients.py
+++ b/rushweir/lab/soak/http_clients.py
@@ -89,6 +89,7 @@
     ended: bool = False
     serial: int = 0
     counts: dict[str, int] = field(default_factory=dict)
+    served_bodies: set[str] = field(default_factory=set)
 
     async def user(self, door: Door) -> None:
         """One client: request after request, at one ingress while its connection is open, then at another."""
@@ -191,6 +192,8 @@
         # A backend's body names the request that it answers, which has to be this one.
         answered = message.body.decode().split(" ")[1] if kind == "served" else request.tag
         self.counts[kind] = self.counts.get(kind, 0) + 1
+        if kind == "served":
+            self.served_bodies.add(message.body.decode())
         self.records.note("answer", client=connection.number, id=answered, kind=kind, why=message.body.decode()[:60])
 
     def _ended_by_ingress(self, connection: Connection) -> None:
--- a/rushweir/lab/soak/run_play.py
+++ b/rushweir/lab/soak/run_play.py
@@ -15,20 +15,26 @@
 
 import orjson
 
+from rushweir.lab.memory_load import memory_mb
 from rushweir.lab.ports import free_port
 from rushweir.lab.records import Recorder, clock
+from rushweir.lab.soak.bad_clients import BadClients
 from rushweir.lab.soak.http_backends import COLD_FROM, COLD_MS, FALL_MS, FALL_MULTIPLE, Backend
 from rushweir.lab.soak.http_clients import Clients, Door
 from rushweir.lab.soak.http_discovery import Agent, Catalog
 from rushweir.lab.soak.http_messages import read_message
 from rushweir.lab.soak.processes import Fault, Process, Processes
-from rushweir.lab.soak.scenario import KEYED, SAFE, Scenario, Shutdown
+from rushweir.lab.soak.scenario import KEYED, PAUSE_MS, SAFE, Scenario, Shutdown
 
 READY_S = 20.0
 LATE_ANSWER_MS = 500.0  # an answer may come so long after its request's time; later it is lost
 HALF_REQUEST_MS = 3_000.0  # a client that stays in half a request is owed its error or close by then
 TIME_SLACK_MS = 50.0  # of every time limit on sockets
 DRAIN_GRACE_MS = 1_000.0
+MEMORY_MB = 32  # of each ingress
+MEMORY_LOOK_S = 0.05
+# Of the answers without a length that come whole half at least are to be forwarded; a few say nothing about a share.
+FORWARDED_SHARE, FEWEST_JUDGED = 0.5, 20
 CEILING_RATE, CEILING_BURST = 25.0, 15.0  # of the plan, units a second and units
 REPEAT_OF = {SAFE: "read_like", KEYED: "idempotency_key"}
 HEALTH = b"GET /_health HTTP/1.1\r\nHost: x\r\n\r\n"
@@ -54,6 +60,10 @@
             self.records, self.rng, self.doors, scenario.classes, scenario.interval_ms, scenario.pipelines,
             scenario.leaves, scenario.ingresses,
         )  # fmt: skip
+        has_pauses = any(s.pause_after_ms is not None for s in scenario.shutdowns)
+        self.bad_clients = BadClients(self.clients, self.rng, PAUSE_MS if has_pauses else 0.0)
+        for backend in self.backends:
+            backend.bad_attempt_arrived = self.bad_clients.attempt_arrived
         self.processes = Processes(scenario, self.records, self._start, self._wait_until_ready, self._note_ending)
         self.errors = open(folder / "errors.txt", "ab")  # noqa: SIM115 - closed in ``play``
         self.idle_writers: list[asyncio.StreamWriter] = []
@@ -65,11 +75,13 @@
             await self._open()
             users = [self._spawn(self.clients.user(d)) for d in self.doors for _ in range(self.scenario.clients)]
             began = clock()
+            bad = [self._spawn(work) for work in self._bad_clients()]
             shutdowns = [self._spawn(self._shut_down(s, began)) for s in self.scenario.shutdowns]
             await asyncio.gather(*shutdowns, self._spawn(self._disturb(began)))
             await asyncio.sleep(max(0.0, began + self.scenario.length_ms - clock()) / 1000)
             self.clients.ended = True
-            await asyncio.wait(users, timeout=5.0)
+            await asyncio.wait([*users, *bad], timeout=5.0)
+            self._judge_bad_parties()
             self.records.note("event", text="end of the play")
             return self.processes.faults
         finally:
@@ -82,6 +94,37 @@
             self.records.close()
             self.errors.close()
 
+    def _bad_clients(self) -> list[Coroutine[Any, Any, None]]:
+        bad, scenario = self.bad_clients, self.scenario
+        found = [bad.watch_own_delay(), self._watch_memory()]
+        if scenario.refused_clients:
+            door = self.doors[scenario.longest_running]
+            found.append(bad.come_again(door, scenario.refused_clients, scenario.length_ms))
+        if scenario.leaving_clients:
+            found.append(bad.send_and_leave(self.doors[-1], scenario.leaving_clients))
+        return found
+
+    async def _watch_memory(self) -> None:
+        """The platform kills an ingress that passes its limit of memory."""
+        while not self.clients.ended:
+            for ingress, process in list(self.processes.running.items()):
+                with contextlib.suppress(OSError):
+                    if process.returncode is None and memory_mb(process.pid) > MEMORY_MB:
+                        self._fault(f"ingress {ingress} passed its {MEMORY_MB} MB")
+                        return
+            await asyncio.sleep(MEMORY_LOOK_S)
+
+    def _judge_bad_parties(self) -> None:
+        if late := self.bad_clients.late_attempts:
+            self._fault(f"{len(late)} attempts began for clients that had left, the last {max(late):.0f} ms after")
+        whole = set().union(*(backend.unsized_bodies for backend in self.backends))
+        forwarded = len(whole & self.clients.served_bodies)
+        if len(whole) >= FEWEST_JUDGED and forwarded < FORWARDED_SHARE * len(whole):
+            self._fault(f"of {len(whole)} whole answers without a length {forwarded} were forwarded")
+
+    def _fault(self, text: str) -> None:
+        self.processes.faults.append(Fault(clock(), text))
+
     def _spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
         task = asyncio.create_task(work)
         self.tasks.append(task)
@@ -168,6 +211,7 @@
             backend.hangs = True
         for backend in self.backends:
             backend.reset_share, backend.closes_idle = scenario.reset_share, scenario.closes_idle
+            backend.unsized_share, backend.unsized_resets = scenario.unsized_share, scenario.unsized_resets
         for backend in self.backends[len(self.backends) - scenario.drains :]:
             self.catalog.drain(backend)
         if scenario.joins_cold:
@@ -186,7 +230,7 @@
         return {
             "name": f"n{ingress}", "listen": f"127.0.0.1:{self.doors[ingress].port}",
             "discovery": self.agents[ingress].address, "seed": f"{self.scenario.seed * 31 + ingress:x}",
-            "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 256}, "settings": self._settings(ingress),
+            "limits": {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": 256}, "settings": self._settings(ingress),
             "peer_listen": f"127.0.0.1:{self.peer_ports[ingress]}",
             "peers": [f"127.0.0.1:{port}" for port in self.peer_ports],
         }  # fmt: skip
--- a/rushweir/lab/soak/scenario.py
+++ b/rushweir/lab/soak/scenario.py
@@ -5,6 +5,7 @@
 import random
 import signal
 from dataclasses import dataclass
+from typing import Any
 
 SERVE, RUN = "serve", "run"
 PROGRAMS = (SERVE, RUN)
@@ -76,12 +77,22 @@
     joins_cold: bool  # whether a backend joins, cold
     new_connections_ms: float  # after SIGTERM
     shutdowns: tuple[Shutdown, ...]
+    refused_clients: int = 0  # whose bytes can't be read and who come again, at one ingress
+    leaving_clients: int = 0  # that send much at once and close their connections, at the last ingress
+    unsized_share: float = 0.0  # of the answers of backends: without a length
+    unsized_resets: float = 0.0  # of these: reset on the way
 
     @property
     def kill_after_ms(self) -> float:
         """When SIGKILL follows the first signal that ends a process."""
         return min(max(c.deadline_ms for c in self.classes), MAX_DEADLINE_MS) + KILL_MARGIN_MS
 
+    @property
+    def longest_running(self) -> int:
+        """An ingress that is not told to end, or the first one."""
+        ending = {shutdown.ingress for shutdown in self.shutdowns}
+        return next((ingress for ingress in range(self.ingresses) if ingress not in ending), 0)
+
     @property
     def length_ms(self) -> float:
         """How long clients send requests."""
@@ -118,9 +129,23 @@
         joins_cold=rng.random() < 0.3,
         new_connections_ms=rng.uniform(*NEW_CONNECTIONS_MS),
         shutdowns=tuple(_shutdowns(rng, ingresses)),
+        **_bad_parties(program, seed),
     )
 
 
+def _bad_parties(program: str, seed: int) -> dict[str, Any]:
+    """What bad clients and backends do, drawn apart: the rest of a seed's scenario is as it was without them."""
+    if program != RUN:
+        return {}
+    rng = random.Random(f"bad parties {seed}")
+    return {
+        "refused_clients": rng.choice((0, 0, 10)),
+        "leaving_clients": rng.choice((0, 0, 8)),
+        "unsized_share": rng.choice((0.0, 0.0, 0.3)),
+        "unsized_resets": rng.choice((0.0, 0.2)),
+    }
+
+
 def _class(rng: random.Random, name: str, effect: str) -> RequestClass:
     deadline = rng.choice((600.0, 1_200.0, 3_000.0))
     window = rng.choice((1_500.0, 6_000.0)) if effect == KEYED else 0.0
--- a/tests/lab/test_soak.py
+++ b/tests/lab/test_soak.py
@@ -14,12 +14,15 @@
 
 from rushweir.lab.checker import check
 from rushweir.lab.sabotage import KINDS
+from rushweir.lab.soak import bad_clients
+from rushweir.lab.soak.bad_clients import LEFT_LIMIT_MS, BadClients
 from rushweir.lab.soak.play import attribute_arrivals
 from rushweir.lab.soak.runner import again, summary
 from rushweir.lab.soak.scenario import PROGRAMS, RUN, SERVE, draw
 
 RULE_OF = {"lost": 1, "twice": 1, "repeat": 2, "drain": 3, "cold": 4, "ceiling": 5}
-HONEST_SEEDS = {RUN: (6, 9), SERVE: (4, 15)}
+# Seeds 3, 11 and 18 have clients that send much and leave, refused clients that come again, answers without a length.
+HONEST_SEEDS = {RUN: (3, 6, 9, 11, 18), SERVE: (4, 15)}
 # Scenarios in which the fault has an occasion: resets, a backend that drains, one that joins cold, many requests.
 SABOTAGED_SEED = {"lost": 3, "twice": 3, "repeat": 1, "drain": 1, "cold": 12, "ceiling": 1}
 
@@ -170,3 +173,23 @@
 
     assert asyncio.run(main()) == (130, "interrupted\n")
     assert processes_of(tmp_path) == []
+
+
+def test_seeds_of_the_suite_draw_bad_clients_and_answers_without_a_length():
+    drawn = [draw(RUN, seed) for seed in HONEST_SEEDS[RUN]]
+    assert any(d.leaving_clients for d in drawn) and any(d.refused_clients for d in drawn)
+    assert any(d.unsized_share and d.unsized_resets for d in drawn)
+    assert not any(draw(SERVE, seed).leaving_clients for seed in range(40))
+
+
+def test_attempt_for_a_client_that_has_left_is_found_but_not_by_the_laboratorys_own_delay(monkeypatch):
+    now = 10_000.0
+    monkeypatch.setattr(bad_clients, "clock", lambda: now)
+    bad = BadClients(None, None, pause_ms=0.0)
+    bad.left_at |= {"in time": now - LEFT_LIMIT_MS, "late": now - LEFT_LIMIT_MS - 1.0}
+    for tag in ("in time", "late", "of one that stayed"):
+        bad.attempt_arrived(tag)
+    assert bad.late_attempts == [LEFT_LIMIT_MS + 1.0]
+    bad.own_delays.append((now - 50.0, 5.0))
+    bad.attempt_arrived("late")
+    assert len(bad.late_attempts) == 1
