--- a/rushweir/edge/discovery_watch.py
+++ b/rushweir/edge/discovery_watch.py
@@ -10,6 +10,9 @@
 change, so that missed changes arrive at once. An invalid answer is refused and the last list stays. An invalid entry
 drains its own backend only. A list applies from the moment when its last byte was read.
 
+The timeout of a call follows how late the last answers were, and is doubled with each further call that gets none, so
+that a slow discovery is heard. The wait is shorter by as much, so that a silent watch is noticed as soon.
+
 A change at discovery applies here after ``MAX_CHANGE_DELAY_MS`` at most after any single fault. Worst case: one
 silent watch, one failed call, one successful call.
 """
@@ -42,6 +45,9 @@
 PATH = "/catalog/members"
 WATCH_WAIT_MS = 1_500.0  # how long a watch call waits; limits the time to detect a silent agent
 ANSWER_TIMEOUT_MS = 750.0  # beyond the wait; the agent is on this machine and answers at once
+MAX_ANSWER_TIMEOUT_MS = 3_000.0  # where it is slow; a call that is lost holds up a change for as long
+ANSWER_TIMEOUT_DELAYS = 1.5  # the timeout, in multiples of the last answer's delay
+MIN_WATCH_WAIT_MS = 250.0
 CONNECT_TIMEOUT_MS = 400.0
 RETRY_DELAY_MS = (20.0, 250.0)  # before the agent is called again: the first and the longest delay
 CALL_MS = CONNECT_TIMEOUT_MS + ANSWER_TIMEOUT_MS
@@ -82,6 +88,8 @@
         self.retry_delay_ms, self.stopped, self.now = RETRY_DELAY_MS[0], False, 0.0
         self.older_since: float | None = None  # since when answers are older than the current list
         self.reader = AnswerReader(MAX_LIST_BYTES)
+        self.answer_timeout_ms, self.silent_calls = ANSWER_TIMEOUT_MS, 0
+        self.answer_due_at = 0.0  # if nothing changes, and the answer comes at once
         self.out: list[commands.ShellCommand] = []
         self.updates: list[Update] = []
         self.log_events: list[commands.LogEvent] = []
@@ -166,6 +174,9 @@
 
     def _handle(self, answer: Message) -> None:
         """Applies a complete answer, and sends the next call."""
+        self.silent_calls = 0
+        delay_ms = max(0.0, self.now - self.answer_due_at)
+        self.answer_timeout_ms = _answer_timeout_ms(ANSWER_TIMEOUT_DELAYS * delay_ms)
         try:
             if answer.status != 200:
                 raise UpdateError(f"status {answer.status}")
@@ -204,15 +215,21 @@
         self.state = CALLING
         self.calls += 1
         self.reader.expect()
-        wait = 0.0 if self.skip_wait or not self.has_full_list else WATCH_WAIT_MS
+        watch_wait = max(MIN_WATCH_WAIT_MS, WATCH_WAIT_MS + ANSWER_TIMEOUT_MS - self.answer_timeout_ms)
+        wait = 0.0 if self.skip_wait or not self.has_full_list else watch_wait
+        self.answer_due_at = self.now + wait
         path = f"{PATH}?since={self.version}&timeout_ms={wait:.0f}" if self.has_full_list else PATH
         host = f"{self.address[0]}:{self.address[1]}"
         self.out.append(commands.Write(self.conn, f"GET {path} HTTP/1.1\r\nHost: {host}\r\n\r\n".encode()))
-        self.at(self.now + wait + ANSWER_TIMEOUT_MS, self._call_timed_out, (self.conn, self.calls))
+        self.at(self.answer_due_at + self.answer_timeout_ms, self._call_timed_out, (self.conn, self.calls))
 
     def _call_timed_out(self, call: tuple[int, int]) -> None:
-        if call == (self.conn, self.calls) and self.state is CALLING:
-            self._call_failed("silent")
+        if call != (self.conn, self.calls) or self.state is not CALLING:
+            return
+        self.silent_calls += 1
+        if self.silent_calls > 1:  # one alone is a watch that has fallen silent
+            self.answer_timeout_ms = _answer_timeout_ms(2 * self.answer_timeout_ms)
+        self._call_failed("silent")
 
     def _reconnect(self) -> None:
         self.skip_wait = True
@@ -341,3 +358,7 @@
             else:
                 self.endpoints[server.address], self.servers[server.address] = endpoint, server
         return tuple(server for server, _ in servers if not full or server.state is not interface.State.GONE)
+
+
+def _answer_timeout_ms(wanted_ms: float) -> float:
+    return min(max(wanted_ms, ANSWER_TIMEOUT_MS), MAX_ANSWER_TIMEOUT_MS)
