Attempts of `serve` do not wait until their client's input is read

Over WebSocket all requests of a partner share one connection; under load bytes nearly always wait on it, so that its requests would wait for a pause that does not come, and each read walked over all that are open.

--- a/rushweir/edge/backends.py
+++ b/rushweir/edge/backends.py
@@ -45,6 +45,8 @@
 
     ``out`` has commands for the shell, ``ended`` the ends of attempts and probes."""
 
+    waits_for_input = True
+
     def __init__(
         self,
         settings: PoolSettings,
@@ -55,6 +57,9 @@
         """``endpoints``: of the listed backends, by id; kept up to date by the reader of the list."""
         super().__init__(new_conn, at)
         self.settings, self.listed_endpoints, self.checking_idle = settings, endpoints, False
+        # Whether all that an attempt's client sent was read. Behind unread bytes may be the end of its connection, so
+        # that nobody knows whether it still waits. The attempt is written after ``client_read``.
+        self.client_is_read: Callable[[commands.Attempt], bool] = lambda attempt: True
         self.backends: dict[str, Backend] = {}  # limited by the list, and by the connections of backends that left it
         self.job_places: dict[
             int, Link | Backend
@@ -67,6 +72,15 @@
         self.now = now
         self._assign(attempt)
 
+    def client_read(self, now: float, attempt: commands.Attempt) -> None:
+        """More input of an attempt's client was read: writes the attempt if it waited for that."""
+        self.now = now
+        place = self.job_places.get(id(attempt))
+        if isinstance(place, Backend):
+            for link in place.idle[::-1]:
+                self._serve_waiting(link)
+            self._ensure_connections(place)
+
     def probe(self, now: float, server: str) -> None:
         """Sends a health probe to a backend."""
         self.now = now
@@ -317,13 +331,6 @@
             self._end_on_link(place, interface.Result.CONNECT_FAILED if place.has_unsent_bytes else result)
             self._abort(place)
 
-    def _write_unsent(self, attempt: commands.Attempt) -> None:
-        place = self.job_places[id(attempt)]
-        if isinstance(place, Backend):
-            for link in place.idle[::-1]:
-                self._serve_waiting(link)
-            self._ensure_connections(place)
-
     def _is_unsent(self, attempt: commands.Attempt) -> bool:
         place = self.job_places.get(id(attempt))
         return isinstance(place, Backend) or (place is not None and place.has_unsent_bytes)
--- a/rushweir/edge/setup.py
+++ b/rushweir/edge/setup.py
@@ -69,9 +69,11 @@
             self.crowded_above,
             lambda: core.now,
         )
+        pool = Pool(self.pool, endpoints, core.new_conn, core.engine.call_at)
+        pool.client_is_read = core.clients.is_read
         return Components(
             front=lambda: ClientConnection(shared),
-            pool=Pool(self.pool, endpoints, core.new_conn, core.engine.call_at),
+            pool=pool,
             list=DiscoveryWatch(self.discovery, self.seed, endpoints, core.new_conn, core.engine.call_at),
             peers=self._peers(),
             shared=shared,
--- a/rushweir/ingress/clients.py
+++ b/rushweir/ingress/clients.py
@@ -108,7 +108,8 @@
         if client.conn not in self.open:
             return  # it was dropped, since it reads nothing: nobody would get the answers
         self._handle_requests(client, requests)
-        self._send_held_attempts(client)
+        if self.core.pool.waits_for_input:
+            self._send_held_attempts(client)
         if client.front.discarded_count != discarded_before:
             self.counts["requests_after_close"] += client.front.discarded_count - discarded_before
         if was_head and client.front.state is not HEAD:
--- a/rushweir/ingress/core.py
+++ b/rushweir/ingress/core.py
@@ -58,7 +58,6 @@
         self.peers = components.peers
         self.fleet = components.fleet
         self.pool.wanted, self.pool.hold = self.engine.wanted, self.memory.set
-        self.pool.client_is_read = self.clients.is_read
         self.load_shedder = LoadShedder(setup.late_ms, setup.max_late_ms)
         self._compute_request_values()
         self.handlers = {
--- a/rushweir/ingress/pool.py
+++ b/rushweir/ingress/pool.py
@@ -13,6 +13,8 @@
 class BasePool:
     """A pool of connections. ``out`` has commands for the shell, ``ended`` the attempts and probes that ended."""
 
+    waits_for_input = False  # whether attempts wait until all input of their client was read
+
     def __init__(self, new_conn: Callable[[Any], int], at: Callable[[float, Callable[..., None], Any], None]) -> None:
         """``new_conn`` returns a connection's number and registers its handler; ``at`` sets a timer."""
         self.new_conn, self.at = new_conn, at
@@ -26,9 +28,6 @@
         self.is_quiet: Callable[[int], bool] = lambda conn: True
         # Whether a client still waits for an attempt, which may have been queued here for a while.
         self.wanted: Callable[[commands.Attempt], bool] = lambda attempt: True
-        # Whether all that an attempt's client sent was read. Behind unread bytes may be the end of its connection, so
-        # that nobody knows whether it still waits. The attempt is written after ``client_read``.
-        self.client_is_read: Callable[[commands.Attempt], bool] = lambda attempt: True
 
     def cancel(self, now: float, attempt: commands.Attempt) -> None:
         """Stop waiting for an attempt. Its node may go on working on it."""
@@ -43,10 +42,7 @@
             self._abandon(attempt, interface.Result.CANCELLED)
 
     def client_read(self, now: float, attempt: commands.Attempt) -> None:
-        """More input of an attempt's client was read: write the attempt if it waited for that."""
-        self.now = now
-        if self._is_unsent(attempt):
-            self._write_unsent(attempt)
+        """More input of an attempt's client was read, for which the attempt may have waited."""
 
     def largest_incomplete_answer(self) -> tuple[int, int]:
         """The memory of the largest answer that is not complete, in bytes, and its connection."""
@@ -60,10 +56,6 @@
         """Whether an attempt is not completely sent yet."""
         raise NotImplementedError
 
-    def _write_unsent(self, attempt: commands.Attempt) -> None:
-        """Write an attempt that is not completely sent yet, if its connection permits."""
-        raise NotImplementedError
-
     def expire(self, now: float, attempt: commands.Attempt) -> None:
         """End an attempt whose deadline has passed."""
         self.now = now
--- a/rushweir/nodes/pool.py
+++ b/rushweir/nodes/pool.py
@@ -223,15 +223,10 @@
             self._end_link(link, abort=True)
 
     def _write_waiting(self, link: Link) -> None:
-        """Writes waiting attempts to the connection, oldest first, but for those whose clients have unread input.
-        From here on an attempt may have run."""
+        """Writes waiting attempts to the connection, oldest first. From here on an attempt may have run."""
         past_grace = bool(link.waiting) and self._is_past_grace(link.node)
-        for attempt in list(link.waiting.values()):
-            if len(link.streams) >= self.settings.streams:
-                break
-            if not past_grace and not self.client_is_read(attempt):
-                continue
-            del link.waiting[id(attempt)]
+        while link.waiting and len(link.streams) < self.settings.streams:
+            _, attempt = link.waiting.popitem(last=False)
             if past_grace or not self.wanted(attempt):
                 self.counts["cut_off"] += past_grace
                 self._end_attempt(attempt, interface.Result.SUPERSEDED)
@@ -302,11 +297,6 @@
         if link.waiting and link.state is OPEN and link.writable:
             self._write_waiting(link)
 
-    def _write_unsent(self, attempt: commands.Attempt) -> None:
-        link = self.link_by_attempt[id(attempt)]
-        if link.state is OPEN and link.writable:
-            self._write_waiting(link)
-
     def _is_unsent(self, attempt: commands.Attempt) -> bool:
         link = self.link_by_attempt.get(id(attempt))
         return link is not None and id(attempt) in link.waiting
