Only connections in CLOSE_WAIT or CLOSE are closed unread when they are accepted

Need: where a system answers TCP_INFO without a state, each connection would have counted as left by its client. Change: the two states in which the other side has closed or reset are named; any other, and none, is accepted.

--- a/rushweir/ingress/accepting.py
+++ b/rushweir/ingress/accepting.py
@@ -19,7 +19,8 @@
 BACKLOG = 1024  # connections that wait to be accepted
 MAX_LOOKS = 256  # connections looked at in one turn of the loop
 PAUSE_S = 0.1  # after the system refused to accept
-TCP_ESTABLISHED = 1  # the first byte of TCP_INFO (Linux, tcp_states.h)
+# The first byte of TCP_INFO where the other side has closed or reset the connection (Linux, tcp_states.h).
+TCP_CLOSE, TCP_CLOSE_WAIT = 7, 8
 
 
 async def bind(host: str, port: int) -> list[socket.socket]:
@@ -45,7 +46,7 @@
 def _has_left(sock: socket.socket) -> bool:
     """Whether the client has closed its connection, also behind bytes that are not read."""
     try:
-        return sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0] != TCP_ESTABLISHED
+        return sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0] in (TCP_CLOSE, TCP_CLOSE_WAIT)
     except (OSError, AttributeError):
         return False  # not TCP, or not Linux: its end is read later
 
