--- a/rushweir/edge/discovery_watch.py
+++ b/rushweir/edge/discovery_watch.py
@@ -10,8 +10,8 @@
 change, so that missed changes arrive at once. An invalid answer is refused and the last list stays. An invalid entry
 drains its own backend only. A list applies from the moment when its last byte was read.
 
-The timeout of a call follows how late the last answers were, and is doubled with each further call that gets none, so
-that a slow discovery is heard. The wait is shorter by as much, so that a silent watch is noticed as soon.
+A call whose answer is late is followed by another on a new connection, and its own answer is still read: a slow
+discovery is heard. The limit for an answer follows how late the last ones were, and the wait is shorter by as much.
 
 A change at discovery applies here after ``MAX_CHANGE_DELAY_MS`` at most after any single fault. Worst case: one
 silent watch, one failed call, one successful call.
@@ -33,21 +33,17 @@
     MAX_TEXT_LENGTH,
     Update,
     UpdateError,
-    server_from_fields,
-    split_host_port,
-    text_field,
 )
 from rushweir.edge.backend_links import Endpoint
+from rushweir.edge.discovery_call import ANSWER_TIMEOUT_MS, NO_ENDPOINT, Call, parse_server
 from rushweir.edge.http import AnswerReader, Malformed, Message
 from rushweir.ingress import commands
 
 DISCONNECTED, DIALING, CALLING = "away", "dialing", "asking"
 PATH = "/catalog/members"
+MIN_WATCH_WAIT_MS = 250.0  # where discovery is slow
+MAX_LATE_CALLS = 3  # whose answers are still read
 WATCH_WAIT_MS = 1_500.0  # how long a watch call waits; limits the time to detect a silent agent
-ANSWER_TIMEOUT_MS = 750.0  # beyond the wait; the agent is on this machine and answers at once
-MAX_ANSWER_TIMEOUT_MS = 3_000.0  # where it is slow; a call that is lost holds up a change for as long
-ANSWER_TIMEOUT_DELAYS = 1.5  # the timeout, in multiples of the last answer's delay
-MIN_WATCH_WAIT_MS = 250.0
 CONNECT_TIMEOUT_MS = 400.0
 RETRY_DELAY_MS = (20.0, 250.0)  # before the agent is called again: the first and the longest delay
 CALL_MS = CONNECT_TIMEOUT_MS + ANSWER_TIMEOUT_MS
@@ -60,8 +56,6 @@
 OLDER_DRAINS_ONLY_MS = 1_000.0
 OLDER_ACCEPTED_MS = 10_000.0
 MAX_LIST_BYTES = 8_388_608  # of an answer: 20,000 entries of about 200 bytes, and a reserve
-NO_ENDPOINT = Endpoint("", 0)
-STATES = {"Ready": interface.State.READY, "Terminating": interface.State.DRAINING, "Gone": interface.State.GONE}
 
 
 class DiscoveryWatch:
@@ -88,8 +82,9 @@
         self.retry_delay_ms, self.stopped, self.now = RETRY_DELAY_MS[0], False, 0.0
         self.older_since: float | None = None  # since when answers are older than the current list
         self.reader = AnswerReader(MAX_LIST_BYTES)
-        self.answer_timeout_ms, self.silent_calls = ANSWER_TIMEOUT_MS, 0
-        self.answer_due_at = 0.0  # if nothing changes, and the answer comes at once
+        self.call: Call | None = None  # the last one
+        self.late_calls: dict[int, Call] = {}  # those whose answers did not come in time, by connection, oldest first
+        self.answer_timeout_ms = ANSWER_TIMEOUT_MS
         self.out: list[commands.ShellCommand] = []
         self.updates: list[Update] = []
         self.log_events: list[commands.LogEvent] = []
@@ -112,6 +107,7 @@
     def stop(self, now: float) -> None:
         """Ends the watch."""
         self.now, self.stopped = now, True
+        self._end_late_calls()
         self._disconnect()
 
     def watch(self, now: float, on: bool) -> None:
@@ -128,6 +124,7 @@
         self.now = now
         self.counts["moved"] += address != self.address
         self.address, self.retry_delay_ms = address, RETRY_DELAY_MS[0]
+        self._end_late_calls()
         self._reconnect()
 
     # --- events of the connection ----------------------------------------------------------------
@@ -151,6 +148,9 @@
         """The connection ended, by a close of the agent (``is_eof``), which completes an answer without a length, or
         by an error."""
         self.now = now
+        if (late := self.late_calls.get(conn)) is not None:
+            self._handle_late(late, late.reader.receive_eof() if is_eof else None)
+            return
         if conn != self.conn or self.state is DISCONNECTED:
             return
         answer = self.reader.receive_eof() if is_eof and self.state is CALLING else None
@@ -162,6 +162,9 @@
     def received(self, now: float, conn: int, data: bytes) -> None:
         """Bytes arrived from discovery."""
         self.now = now
+        if (late := self.late_calls.get(conn)) is not None:
+            self._receive_late(late, data)
+            return
         if conn != self.conn or self.state is not CALLING:
             return
         try:
@@ -172,11 +175,42 @@
         if answer is not None:
             self._handle(answer)
 
+    def _receive_late(self, late: Call, data: bytes) -> None:
+        try:
+            answer = late.reader.receive(data)
+        except Malformed:
+            self._end_late_call(late)
+            return
+        if answer is not None:
+            self._handle_late(late, answer)
+
+    def _handle_late(self, late: Call, answer: Message | None) -> None:
+        """Applies the answer to a former call, if it is a list that is not older than the present one."""
+        self._end_late_call(late)
+        if answer is None or answer.status != 200:
+            return
+        self.counts["late_answers"] += 1
+        self.answer_timeout_ms = late.next_timeout_ms(self.now)
+        try:
+            page = orjson.loads(answer.body)
+            if isinstance(page, dict) and type(page.get("version")) is int and page["version"] >= self.version:
+                self._apply(page)
+        except (UpdateError, orjson.JSONDecodeError) as problem:
+            self._log_refusal(problem)
+
+    def _end_late_call(self, late: Call) -> None:
+        self.out.append(commands.AbortConnection(late.conn))
+        late.reader.release()
+        del self.late_calls[late.conn]
+
+    def _end_late_calls(self) -> None:
+        for late in list(self.late_calls.values()):
+            self._end_late_call(late)
+
     def _handle(self, answer: Message) -> None:
         """Applies a complete answer, and sends the next call."""
-        self.silent_calls = 0
-        delay_ms = max(0.0, self.now - self.answer_due_at)
-        self.answer_timeout_ms = _answer_timeout_ms(ANSWER_TIMEOUT_DELAYS * delay_ms)
+        assert self.call is not None
+        self.answer_timeout_ms = self.call.next_timeout_ms(self.now)
         try:
             if answer.status != 200:
                 raise UpdateError(f"status {answer.status}")
@@ -194,9 +228,12 @@
             self._dial(None)
 
     def _refuse(self, problem: Exception) -> None:
+        self._log_refusal(problem)
+        self._call_failed("unreadable")
+
+    def _log_refusal(self, problem: Exception) -> None:
         self.log_events.append(commands.LogEvent("warning", "list_answer_refused", {"why": str(problem)[:300]}))
         self.counts["refused"] += 1
-        self._call_failed("unreadable")
 
     def congested(self, conn: int) -> None:
         """Does nothing: a call has a few bytes only."""
@@ -215,21 +252,28 @@
         self.state = CALLING
         self.calls += 1
         self.reader.expect()
+        # A silent watch is noticed as soon as with the usual timeout.
         watch_wait = max(MIN_WATCH_WAIT_MS, WATCH_WAIT_MS + ANSWER_TIMEOUT_MS - self.answer_timeout_ms)
         wait = 0.0 if self.skip_wait or not self.has_full_list else watch_wait
-        self.answer_due_at = self.now + wait
+        self.call = Call(self.conn, self.reader, self.now, wait)
         path = f"{PATH}?since={self.version}&timeout_ms={wait:.0f}" if self.has_full_list else PATH
         host = f"{self.address[0]}:{self.address[1]}"
         self.out.append(commands.Write(self.conn, f"GET {path} HTTP/1.1\r\nHost: {host}\r\n\r\n".encode()))
-        self.at(self.answer_due_at + self.answer_timeout_ms, self._call_timed_out, (self.conn, self.calls))
+        self.at(self.now + wait + self.answer_timeout_ms, self._call_timed_out, (self.conn, self.calls))
 
     def _call_timed_out(self, call: tuple[int, int]) -> None:
-        if call != (self.conn, self.calls) or self.state is not CALLING:
-            return
-        self.silent_calls += 1
-        if self.silent_calls > 1:  # one alone is a watch that has fallen silent
-            self.answer_timeout_ms = _answer_timeout_ms(2 * self.answer_timeout_ms)
-        self._call_failed("silent")
+        if call == (self.conn, self.calls) and self.state is CALLING:
+            if self.reader.message is None:  # an answer that stops in the middle is broken
+                self._keep_listening()
+            self._call_failed("silent")
+
+    def _keep_listening(self) -> None:
+        """Reads on for the answer to the last call, while others are sent."""
+        assert self.call is not None
+        if len(self.late_calls) >= MAX_LATE_CALLS:
+            self._end_late_call(next(iter(self.late_calls.values())))
+        self.late_calls[self.conn] = self.call
+        self.state = DISCONNECTED
 
     def _reconnect(self) -> None:
         self.skip_wait = True
@@ -324,7 +368,7 @@
         An invalid entry drains the backend with its id, and the other entries apply. Without a valid id it returns no
         server, so that a full list omits the backend."""
         try:
-            return self._parse_server(entry, where)
+            return parse_server(entry, where)
         except UpdateError as problem:
             name = entry.get("id") if isinstance(entry, dict) else None
             known = type(name) is str and 0 < len(name) <= MAX_TEXT_LENGTH
@@ -334,18 +378,6 @@
             held = self.servers.get(name, interface.Server(name))
             return replace(held, state=interface.State.DRAINING), self.endpoints.get(name, NO_ENDPOINT)
 
-    def _parse_server(self, entry: Any, where: str) -> tuple[interface.Server, Endpoint]:
-        if not isinstance(entry, dict):
-            raise UpdateError(f"{where}: must be an object")
-        name, state = text_field(entry, "id", where), text_field(entry, "state", where, "")
-        host, port = split_host_port(text_field(entry, "addr", where, ""))
-        if state != "Gone" and port == 0:
-            raise UpdateError(f"{where}.addr: must be host:port")
-        if state not in STATES:
-            raise UpdateError(f"{where}.state: unknown: {state[:40]!r}")
-        server = server_from_fields(entry, where, name, "started_ms", STATES[state])
-        return server, Endpoint(host, port, server.online_since_ms)
-
     def _store(self, servers: list[tuple[interface.Server, Endpoint]], full: bool) -> tuple[interface.Server, ...]:
         """Stores a full list or a delta, and returns its servers for the update."""
         if full:
@@ -358,7 +390,3 @@
             else:
                 self.endpoints[server.address], self.servers[server.address] = endpoint, server
         return tuple(server for server, _ in servers if not full or server.state is not interface.State.GONE)
-
-
-def _answer_timeout_ms(wanted_ms: float) -> float:
-    return min(max(wanted_ms, ANSWER_TIMEOUT_MS), MAX_ANSWER_TIMEOUT_MS)
--- a/tests/edge/test_slow_discovery.py
+++ b/tests/edge/test_slow_discovery.py
@@ -10,7 +10,8 @@
 import orjson
 import pytest
 
-from rushweir.edge.discovery_watch import ANSWER_TIMEOUT_MS, MAX_ANSWER_TIMEOUT_MS
+from rushweir.edge.discovery_call import ANSWER_TIMEOUT_MS, MAX_ANSWER_TIMEOUT_MS
+from rushweir.edge.discovery_watch import RETRY_DELAY_MS
 from rushweir.ingress import commands
 from tests.edge.conftest import LIST, Edge, answer
 
@@ -27,6 +28,7 @@
         self.due = []  # when, what to call, and its arguments
         self.waiting = []  # connection and end of the wait of each call that waits for a change
         self.version, self.changed = LIST["version"], False
+        self.is_down = False  # takes connections and drops calls
 
     def change(self):
         self.version, self.changed = self.version + 1, True
@@ -46,6 +48,8 @@
             if isinstance(command, commands.Dial) and command.port == 8500:
                 self.due.append((self.edge.now, self.edge.core.dialed, command.conn, None))
             elif isinstance(command, commands.Write) and b"GET /catalog" in command.data:
+                if self.is_down:
+                    continue
                 since = re.search(rb"since=(\d+)&timeout_ms=(\d+)", command.data)
                 if since is None or int(since[1]) < self.version:
                     self.answer_at(self.edge.now + self.delay_ms, command.conn)
@@ -115,3 +119,35 @@
         changed_at = edge.now
         agent.run_until(changed_at + QUIET_MS, lambda e=edge: e.core.nodes.effective["s-1"].state.value == "draining")
         assert edge.now - changed_at <= TOLD_AFTER_MS, phase_ms
+
+
+@pytest.mark.parametrize("phase_ms", range(0, 1_000, 100))
+def test_outage_does_not_lengthen_the_time_to_hear_of_its_end(phase_ms):
+    """Calls that are lost in an outage say nothing about how slow discovery is."""
+    edge = Edge()
+    agent = SlowAgent(edge, 0.0)
+    agent.run_until(edge.now + QUIET_MS)
+    agent.is_down = True
+    agent.waiting.clear()
+    agent.run_until(edge.now + 8_000.0 + phase_ms)
+    agent.change()
+    agent.is_down, ended_at = False, edge.now
+    agent.run_until(ended_at + QUIET_MS, lambda: edge.core.nodes.effective["s-1"].state.value == "draining")
+    assert edge.now - ended_at <= ANSWER_TIMEOUT_MS + RETRY_DELAY_MS[1]
+
+
+def test_late_answer_that_is_older_than_the_list_changes_nothing():
+    edge = Edge()
+    agent = SlowAgent(edge, 0.0)
+    agent.run_until(edge.now + 1_000.0)
+    agent.is_down = True
+    agent.waiting.clear()
+    agent.run_until(edge.now + 3_000.0)
+    late_conn = next(iter(edge.core.list.late_calls))
+    older = agent.page()
+    agent.is_down = False
+    agent.change()
+    agent.run_until(edge.now + 3_000.0)
+    assert edge.core.nodes.effective["s-1"].state.value == "draining"
+    edge.receive(late_conn, older)
+    assert edge.core.nodes.effective["s-1"].state.value == "draining" and late_conn in edge.closed
