A customer whose share of a ceiling has refilled is forgotten, whatever the share

Callers would have seen: new customers refused (too_many_customers) for up to 30 s where the bound is reached and plans have ceilings. Cause: a full share was compared with one that is computed in another order and rounded up in some cases (3, 6 and 7 gateways at a ceiling of 43 units), so that such customers counted as not refilled. Change: the share is computed as where it refills. Measured: 5 of the 22 new tests fail on the code before; 32 of tests/test_known_customers.py pass.

--- a/rushweir/token_buckets.py
+++ b/rushweir/token_buckets.py
@@ -132,7 +132,8 @@
         if self.open_attempts or self.leased_share is not None:
             return False
         self.refill(gateways_share, now)
-        own_ceiling = self.plan.ceiling_burst * gateways_share / self.gateway_count if self.plan.ceiling_rate else 0.0
+        own_share = gateways_share / self.gateway_count  # rounded as in ``refill``
+        own_ceiling = self.plan.ceiling_burst * own_share if self.plan.ceiling_rate else 0.0
         has_quota = not self.plan.rate or self.bucket.tokens >= self.plan.burst
         return has_quota and self.ceiling_tokens >= own_ceiling
 
--- a/tests/test_known_customers.py
+++ b/tests/test_known_customers.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import random
+from dataclasses import replace
 
 import orjson
 import pytest
@@ -72,6 +73,22 @@
     assert quota.customer(request("c0", plan, LATER), LATER) is known[next(iter(known))]
 
 
+@pytest.mark.parametrize("gateway_count", range(1, 12))
+@pytest.mark.parametrize("peers", [False, True])
+def test_customer_whose_ceiling_has_refilled_is_forgotten_whatever_its_share(gateway_count, peers):
+    """A full share was compared with one that is rounded otherwise, so that some were kept."""
+    sharing = interface.Sharing(peers=peers)
+    plan = interface.Plan("ceiling", ceiling_rate=10.0, ceiling_burst=43.0)
+    settings = replace(SETTINGS, gateways=gateway_count, sharing=sharing, plans=(plan,))
+    quota = Quota(settings, random.Random(1), STARTED)
+    for number in range(MAX_CUSTOMERS):
+        asked = interface.Request("r", "look", "ceiling", f"c{number}", NOW + 2000.0, 1.0, gateway_count, 0)
+        quota.customer(asked, NOW).ceiling_tokens -= 1.0
+    refilled_at = NOW + 60_000.0
+    new = interface.Request("r", "look", "ceiling", "new", refilled_at + 2000.0, 1.0, gateway_count, 0)
+    assert quota.customer(new, refilled_at) is not None
+
+
 def test_customer_with_an_open_attempt_is_not_forgotten(quota):
     fill(quota)
     busy = quota.customers[next(iter(quota.customers))]
